--- /dev/null
+++ b/src/main/java/yewjunction/app/Main.java
@@ -0,0 +1,123 @@
+package yewjunction.app;
+
+import com.github.rvesse.airline.Cli;
+import com.github.rvesse.airline.annotations.Arguments;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.builder.CliBuilder;
+import com.github.rvesse.airline.help.Help;
+import com.github.rvesse.airline.parser.errors.ParseException;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import yewjunction.base.Defect;
+import yewjunction.settings.Settings;
+
+/** yewjunction: one jar, two programs, and tools round them. */
+public final class Main {
+    public static final int EXIT_OK = 0;
+    public static final int EXIT_USAGE = 2;
+    public static final int EXIT_SETTINGS = 3;
+    public static final int EXIT_LEDGER = 4;
+    public static final int EXIT_DISK = 5;
+    public static final int EXIT_LISTEN = 6;
+    static final String SETTINGS_VARIABLE = "YEWJUNCTION_SETTINGS";
+
+    private Main() {
+    }
+
+    /** Common to both programs. */
+    abstract static class Program implements Callable<Integer> {
+        @Option(name = "--settings", title = "FILE", description = "settings file; else the one named by " + SETTINGS_VARIABLE)
+        String file;
+
+        Path path() {
+            final String named = file != null ? file : System.getenv(SETTINGS_VARIABLE);
+            return named == null ? null : Path.of(named);
+        }
+
+        @Override
+        public Integer call() {
+            final Path path = path();
+            if (path == null) {
+                System.err.println("no settings file: set " + SETTINGS_VARIABLE + " or give --settings FILE");
+                return EXIT_SETTINGS;
+            }
+            try {
+                return run(path, Settings.load(path));
+            } catch (final Defect defect) {
+                System.err.println(defect.code() + " " + defect.getMessage());
+                return switch (defect.code()) {
+                    case LEDGER_DAMAGED -> EXIT_LEDGER;
+                    case LEDGER_DISK -> EXIT_DISK;
+                    default -> EXIT_SETTINGS;
+                };
+            } catch (final java.io.UncheckedIOException defect) {
+                System.err.println(defect.getMessage() + ": " + defect.getCause().getMessage());
+                return EXIT_LISTEN;
+            }
+        }
+
+        abstract int run(Path path, Settings settings);
+    }
+
+    @Command(name = "tide", description = "Data plane: clients' links where it serves edge, kept messages where it serves store")
+    public static final class TideCommand extends Program {
+        @Override
+        int run(final Path path, final Settings settings) {
+            return settings.serves().contains("store") ? new VaultProcess(path, settings).run()
+                : new EdgeProcess(path, settings).run();
+        }
+    }
+
+    @Command(name = "crux", description = "Control plane: configuration, names and voters; serves the operator")
+    public static final class CruxCommand extends Program {
+        @Override
+        int run(final Path path, final Settings settings) {
+            return new CruxProcess(path, settings).run();
+        }
+    }
+
+    @Command(name = "check", description = "Checks a settings file (YAML) or an operator's configuration (JSON) offline")
+    public static final class CheckCommand implements Callable<Integer> {
+        @Arguments(title = "FILE", description = "the file to check")
+        String file;
+
+        @Override
+        public Integer call() {
+            if (file == null) {
+                System.err.println("usage: yewjunction check FILE");
+                return EXIT_USAGE;
+            }
+            return Checker.check(Path.of(file), System.out, System.err);
+        }
+    }
+
+    private static Cli<Callable<Integer>> cli() {
+        final CliBuilder<Callable<Integer>> builder = Cli.builder("yewjunction");
+        builder.withDescription("A realtime messaging service whose nodes act as one");
+        builder.withCommand(TideCommand.class);
+        builder.withCommand(CruxCommand.class);
+        builder.withCommand(CheckCommand.class);
+        return builder.build();
+    }
+
+    public static void main(final String[] arguments) throws Exception {
+        System.exit(run(arguments));
+    }
+
+    static int run(final String[] arguments) throws Exception {
+        if (arguments.length == 0 || arguments[0].equals("help") || arguments[0].equals("--help")) {
+            Help.help(cli().getMetadata(), java.util.List.of());
+            return arguments.length == 0 ? EXIT_USAGE : EXIT_OK;
+        }
+        final Callable<Integer> command;
+        try {
+            command = cli().parse(arguments);
+        } catch (final ParseException defect) {
+            System.err.println(defect.getMessage());
+            System.err.println("usage: yewjunction tide|crux|check|help");
+            return EXIT_USAGE;
+        }
+        return command.call();
+    }
+}
--- /dev/null
+++ b/src/main/java/yewjunction/app/VaultProcess.java
@@ -0,0 +1,144 @@
+package yewjunction.app;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import yewjunction.charter.Charter;
+import yewjunction.charter.Facts;
+import yewjunction.charter.Tenure;
+import yewjunction.herald.Home;
+import yewjunction.ledger.Ledger;
+import yewjunction.ledger.LocalDisk;
+import yewjunction.settings.Settings;
+import yewjunction.vault.Cellar;
+import yewjunction.vault.Gate;
+import yewjunction.vault.Message;
+import yewjunction.weave.Weave;
+
+import static yewjunction.base.Limits.ENROL_MS;
+
+/** A store machine's data plane: one member of the vaults' ledger, and home to its zone's edges. */
+final class VaultProcess extends Process implements Cellar.Watcher, Tenure.Watcher {
+    /** Group number of the vaults' ledger; a field everywhere, so that there can be more. */
+    private static final int GROUP = 1;
+    private final Cellar cellar;
+    private final Ledger ledger;
+    private final Gate gate;
+    private final Home home;
+    private final Tenure tenure;
+    private final Weave weave = new Weave();
+
+    VaultProcess(final Path file, final Settings settings) {
+        super(file, settings, "vault", Settings.TIDE_OFFSET);
+        cellar = new Cellar(loom, this);
+        ledger = new Ledger(GROUP, loom, wires, new LocalDisk(Path.of(settings.dataFolder())), new Worker(loom), "messages", cellar);
+        ledger.listen();
+        gate = new Gate(loom, wires, ledger, cellar);
+        home = new Home(loom, wires, ledger, cellar, weave);
+        tenure = new Tenure(loom, wires, this::cruxes, this)
+            .named(address, settings.node(), settings.zone(), "vault", life);
+    }
+
+    @Override
+    void start() {
+        if (ledger.identity() == null) {
+            ledger.name(address + "#" + Long.toHexString(life));
+        }
+        ledger.start();
+        roster.ready(true);
+        tenure.identity(ledger.identity());
+        tenure.start();
+        loom.every(ENROL_MS, this::settleDuties);
+    }
+
+    /** Joins where a place is free, and empties what the core wants emptied. */
+    private void settleDuties() {
+        final List<String> voters = ledger.voters();
+        if (!voters.contains(ledger.identity()) && !tenure.facts().vaults().isEmpty()) {
+            final boolean wanted = wantsVote(voters);
+            addresses("vault").forEach(sibling -> ledger.join(sibling, wanted));
+        }
+        if (ledger.leads()) {
+            emptyRetiring(voters);
+        }
+    }
+
+    /** A machine that is a voter's, or a spare one while a voter is being emptied. */
+    private boolean wantsVote(final List<String> voters) {
+        final Set<String> retiring = tenure.facts().retiringAddresses();
+        if (retiring.contains(address)) {
+            return false;
+        }
+        final List<String> first = voters.isEmpty() ? tenure.facts().vaults() : voters;
+        return first.stream().map(Ledger::address).anyMatch(voter -> voter.equals(address) || retiring.contains(voter));
+    }
+
+    private void emptyRetiring(final List<String> voters) {
+        final Set<String> retiring = tenure.facts().retiringAddresses();
+        final List<String> emptied = new ArrayList<>();
+        for (final String one : retiring) {
+            final String node = tenure.facts().retiringNode(one);
+            if (node != null && voters.stream().noneMatch(voter -> Ledger.address(voter).equals(one))) {
+                emptied.add(node);
+            }
+        }
+        tenure.emptied(emptied);
+        final List<String> staying = voters.stream().filter(voter -> !retiring.contains(Ledger.address(voter))).toList();
+        final int needed = 2 * Math.max(1, settings.lossesBorne()) + 1;
+        // The newcomer first, then the old one goes; a leader that is to go hands over before.
+        if (staying.size() < voters.size() && staying.size() >= needed && staying.stream().allMatch(voter ->
+            voter.equals(ledger.identity()) || ledger.nearEnd(voter))) {
+            if (retiring.contains(address)) {
+                ledger.handOver(() -> { });
+            } else {
+                ledger.changeVoters(staying);
+            }
+        }
+    }
+
+    @Override
+    void stop() {
+        // Edges leave first; the lead goes to a sibling that holds everything.
+        home.close();
+        ledger.handOver(() -> {
+            ledger.stop();
+            end();
+        });
+    }
+
+    @Override
+    public void configChanged(final Charter charter) {
+        cellar.charter(charter);
+    }
+
+    @Override
+    public void factsChanged(final Facts facts) {
+        weave.replicas(facts.newestReplica(), facts.liveReplicas());
+        if (facts.vaults().contains(ledger.identity())) {
+            ledger.found(facts.vaults());
+        }
+    }
+
+    @Override
+    public boolean admittedHere(final Message message) {
+        return gate != null && gate.admitted(message);
+    }
+
+    @Override
+    public void settledTo(final long commit) {
+        if (home != null) {
+            home.settled();
+        }
+    }
+
+    @Override
+    public void leaderIs(final String identity, final boolean self) {
+        if (home != null) {
+            if (!self) {
+                gate.leaderChanged();
+            }
+            home.leaderChanged();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/yewjunction/base/Defect.java
@@ -0,0 +1,31 @@
+package yewjunction.base;
+
+/** A failure with a code; each layer makes its own and wraps those from below. */
+public class Defect extends RuntimeException {
+    private static final long serialVersionUID = 1L;
+    private final transient Code code;
+
+    /** Codes of all layers; operators find them in docs/events.md. */
+    public enum Code {
+        SETTINGS_MISSING, SETTINGS_UNREADABLE, SETTINGS_FIELD,
+        CONFIG_UNREADABLE, CONFIG_FIELD, CONFIG_PLACE, CONFIG_TIMEOUT, CONFIG_SERVICE, CONFIG_KEY, CONFIG_VERSION,
+        LINK_CLOSED, LINK_OVERFLOW, LINK_GARBLED,
+        LEDGER_DAMAGED, LEDGER_DISK,
+        LETTER_UNKNOWN, LETTER_GARBLED,
+        CLIENT_GARBLED, CLIENT_TOOBIG
+    }
+
+    public Defect(final Code code, final String text) {
+        super(text);
+        this.code = code;
+    }
+
+    public Defect(final Code code, final String text, final Throwable cause) {
+        super(text, cause);
+        this.code = code;
+    }
+
+    public Code code() {
+        return code;
+    }
+}
--- /dev/null
+++ b/src/main/java/yewjunction/base/Limits.java
@@ -0,0 +1,150 @@
+package yewjunction.base;
+
+/** Every constant of the system, with its unit and the reason for its value. */
+public final class Limits {
+    private Limits() {
+    }
+
+    // --- links between siblings ---
+    /** ms; a sibling that is up takes a link within a round trip, so a second means it is dark. */
+    public static final long DIAL_MS = 1_000;
+    /** ms; a link that sent nothing for this long says so, which keeps a dark sibling apart from a quiet one. */
+    public static final long LINK_BEAT_MS = 800;
+    /** ms; about three beats: two may be late on a lossy link. */
+    public static final long LINK_SILENCE_MS = 2_600;
+    /** bytes; one letter at most, above any snapshot piece and any state of the set. */
+    public static final int LETTER_BYTES = 16 << 20;
+    /** bytes; what may wait for a sibling that reads slowly before it is cut. */
+    public static final int LINK_QUEUE_BYTES = 24 << 20;
+    /** bytes; first size of a buffer of a sibling link: most letters fit. */
+    public static final int LINK_BUFFER_BYTES = 4 << 10;
+
+    // --- clients ---
+    /** bytes; body of a message at most (protocol). */
+    public static final int BODY_BYTES = 16 << 10;
+    /** bytes; body of a message at least (protocol). */
+    public static final int BODY_LEAST_BYTES = 20;
+    /** bytes; a head line of words and fields at most: far above any name in use. */
+    public static final int HEAD_BYTES = 2 << 10;
+    /** bytes; what may wait for a client that reads slowly; it can take up its cursors again. */
+    public static final int CLIENT_QUEUE_BYTES = 4 << 20;
+    /** bytes; first size of a client's buffer: most messages fit. */
+    public static final int CLIENT_BUFFER_BYTES = 512;
+    /** links; connections waiting to be taken: after a mass reset all come at once. */
+    public static final int BACKLOG = 2_048;
+    /** bytes; a body above this that is announced is skipped by closing the link: reading it would cost more. */
+    public static final int BODY_SKIP_BYTES = 1 << 20;
+    /** times PingS of silence after which a client may be dropped (protocol says 3; a little more spares late ones). */
+    public static final double SILENT_PINGS = 3.5;
+    /** ms; pace of looking for silent clients and answers that are overdue. */
+    public static final long DOCK_SWEEP_MS = 100;
+    /** share of a space's TimeoutMs after which the edge gives its final answer to a message still under way. */
+    public static final double ANSWER_SHARE = 0.85;
+    /** ms; a SUB gets its final answer by then, before any client resets its link. */
+    public static final long JOIN_ANSWER_MS = 1_000;
+    /** ms; subscriptions of a client that stays away this long are removed, well after the longest keeping time. */
+    public static final long AWAY_MS = 120_000;
+
+    // --- drain ---
+    /** ms; links are moved over this span, so that the other edges take them one by one. */
+    public static final long MOVE_SPAN_MS = 1_200;
+    /** ms; step of the moving. */
+    public static final long MOVE_STEP_MS = 50;
+    /** ms; a draining edge ends by then, inside the platform's grace. */
+    public static final long DRAIN_MS = 3_000;
+
+    // --- roster ---
+    /** ms; one probe each period. */
+    public static final long PROBE_MS = 1_000;
+    /** ms; a direct answer by then, or others are asked. */
+    public static final long PROBE_ANSWER_MS = 300;
+    /** count; siblings asked for a second opinion. */
+    public static final int PROBE_HELPERS = 2;
+    /** ms; a suspected sibling may refute this long. */
+    public static final long SUSPECT_MS = 2_000;
+    /** ms; how long a removed sibling is remembered, so that late news does not revive it. */
+    public static final long GONE_MS = 20_000;
+    /** count; news that ride on one probe: keeps datagrams small. */
+    public static final int NEWS_PER_PROBE = 6;
+    /** times; how often one piece of news rides along. */
+    public static final int NEWS_TIMES = 6;
+    /** one probe in so many goes to another zone: cross-zone bytes are dear. */
+    public static final int PROBE_ACROSS_EVERY = 6;
+    /** ms; pace of asking the seeds until one answers. */
+    public static final long JOIN_MS = 300;
+    /** ms; pace of asking a seed again later: heals a roster that split while links were cut. */
+    public static final long REJOIN_MS = 10_000;
+
+    // --- ledger ---
+    /** ms; beat of a leader. */
+    public static final long BEAT_MS = 100;
+    /** ms; least and most wait before a follower stands for election. */
+    public static final long ELECT_LEAST_MS = 450;
+    public static final long ELECT_MOST_MS = 850;
+    /** ms; pace of a ledger's own look at the clock. */
+    public static final long LEDGER_TICK_MS = 25;
+    /** entries; one append letter at most. */
+    public static final int APPEND_ENTRIES = 256;
+    /** bytes; one append letter at most. */
+    public static final int APPEND_BYTES = 512 << 10;
+    /** ms; unanswered appends are sent again after this. */
+    public static final long APPEND_AGAIN_MS = 400;
+    /** bytes; a ledger file longer than this is rewritten. */
+    public static final long LEDGER_BYTES = 12L << 20;
+    /** entries; kept behind a snapshot for siblings that were away a short while. */
+    public static final int LEDGER_TAIL_ENTRIES = 2_000;
+    /** ms; a leader that stops hands over within this. */
+    public static final long HAND_OVER_MS = 700;
+    /** entries; a newcomer this close to the end may become a voter. */
+    public static final int CAUGHT_UP_ENTRIES = 50;
+
+    // --- charter ---
+    /** ms; pace of a tide's renewal of its lease. */
+    public static final long LEASE_PACE_MS = 600;
+    /** ms; counted from when the renewal was asked for; below ApplyMs and RevokeMs of every deployment. */
+    public static final long LEASE_MS = 2_500;
+    /** ms; a renewal without an answer is asked of another crux after this. */
+    public static final long LEASE_ANSWER_MS = 500;
+    /** ms; an operator's call waits at most this long inside a crux. */
+    public static final long CALL_MS = 900;
+    /** bytes; a configuration at most. */
+    public static final int CONFIG_BYTES = 1 << 20;
+    /** versions whose digest is remembered for exact repeats. */
+    public static final int TAKEN_VERSIONS = 512;
+    /** ms; a replica gone from the roster for this long is retired. */
+    public static final long REPLICA_GONE_MS = 60_000;
+    /** threads for operator calls, which wait for a majority. */
+    public static final int CALL_THREADS = 4;
+
+    // --- weave ---
+    /** ms; pace of state exchange inside a zone. */
+    public static final long GOSSIP_MS = 1_000;
+    /** one exchange in so many also crosses to another zone, by the zone's bridge only. */
+    public static final int GOSSIP_ACROSS_EVERY = 4;
+
+    // --- vault ---
+    /** ms; kept beyond a space's LingerS: covers late starts of the clock on other disks. */
+    public static final long KEEP_SLACK_MS = 12_000;
+    /** ms; how long an accepted or denied number is remembered: well above ResendS. */
+    public static final long NUMBER_MS = 60_000;
+    /** ms; a message that was under way from its edge longer than this is not admitted: its denial may be forgotten. */
+    public static final long UNDER_WAY_MS = 8_000;
+    /** ms; pace of dropping old messages and numbers. */
+    public static final long VAULT_SWEEP_MS = 1_000;
+    /** ms; pace of a vault's call to crux. */
+    public static final long ENROL_MS = 500;
+
+    // --- herald ---
+    /** ms; beat of a home to its edges, and pace of an edge's word to its home. */
+    public static final long HOME_BEAT_MS = 300;
+    /** ms; an edge leaves a home that is silent for this long. */
+    public static final long HOME_SILENCE_MS = 1_000;
+    /** ms; an edge without a home for this long calls itself not ready. */
+    public static final long HOMELESS_MS = 3_000;
+    /** messages; one piece of a stream at most. */
+    public static final int FLOW_ITEMS = 200;
+
+    // --- settings ---
+    /** ms; pace of looking at the settings file. */
+    public static final long SETTINGS_LOOK_MS = 1_000;
+}
--- /dev/null
+++ b/src/main/java/yewjunction/base/Link.java
@@ -0,0 +1,19 @@
+package yewjunction.base;
+
+/** An ordered connection to a sibling; letters are lost only together with the link. */
+public interface Link {
+    /** Queues a letter; false when the link is closed. */
+    boolean send(Object letter);
+
+    void close();
+
+    boolean open();
+
+    /** The far address, ip:port; for links taken in, the port is the sibling's ephemeral one. */
+    String remote();
+
+    /** What the owner pinned to this link. */
+    Object tag();
+
+    void tag(Object value);
+}
--- /dev/null
+++ b/src/main/java/yewjunction/charter/Charter.java
@@ -0,0 +1,220 @@
+package yewjunction.charter;
+
+import com.typesafe.config.Config;
+import com.typesafe.config.ConfigException;
+import com.typesafe.config.ConfigFactory;
+import com.typesafe.config.ConfigParseOptions;
+import com.typesafe.config.ConfigRenderOptions;
+import com.typesafe.config.ConfigSyntax;
+import com.typesafe.config.ConfigValue;
+import com.typesafe.config.ConfigValueType;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import yewjunction.base.Defect;
+
+import static yewjunction.base.Defect.Code.CONFIG_FIELD;
+import static yewjunction.base.Defect.Code.CONFIG_KEY;
+import static yewjunction.base.Defect.Code.CONFIG_PLACE;
+import static yewjunction.base.Defect.Code.CONFIG_SERVICE;
+import static yewjunction.base.Defect.Code.CONFIG_TIMEOUT;
+import static yewjunction.base.Defect.Code.CONFIG_UNREADABLE;
+
+/** One version of the operator's configuration, checked; all fields are kept as they were sent. */
+public final class Charter {
+    private final Config whole;
+    private final long version;
+    private final List<Space> spaces = new ArrayList<>();
+    private final Map<String, Tenant> tenantsByKey = new HashMap<>();
+    private final Map<String, Tenant> tenantsByName = new HashMap<>();
+    private int subs = Integer.MAX_VALUE;
+
+    /** A space of topics. */
+    public record Space(String name, String host, String prefix, long timeoutMs, long keepMs, boolean open) {
+    }
+
+    public record Tenant(String name, Set<String> keys, double perSecond, double burst) {
+    }
+
+    private Charter(final Config whole) {
+        this.whole = whole;
+        version = number(whole, "Ver", "Ver");
+        // A version is a whole number above 0: 0 stands for no configuration at all.
+        if (version <= 0) {
+            throw new Defect(CONFIG_FIELD, "Ver: must be above 0");
+        }
+    }
+
+    /** Reads JSON and checks all of it; a defect names the path. */
+    public static Charter read(final String json) {
+        return of(parse(json));
+    }
+
+    public static Config parse(final String json) {
+        try {
+            return ConfigFactory.parseString(json, ConfigParseOptions.defaults().setSyntax(ConfigSyntax.JSON));
+        } catch (final ConfigException defect) {
+            throw new Defect(CONFIG_UNREADABLE, defect.getMessage(), defect);
+        }
+    }
+
+    public static Charter of(final Config whole) {
+        try {
+            final Charter charter = new Charter(whole);
+            charter.readSpaces();
+            charter.readTenants();
+            if (whole.hasPath("Lims.Subs")) {
+                charter.subs = whole.getInt("Lims.Subs");
+            }
+            return charter;
+        } catch (final ConfigException defect) {
+            throw new Defect(CONFIG_FIELD, defect.getMessage(), defect);
+        }
+    }
+
+    private static long number(final Config from, final String field, final String path) {
+        if (!from.hasPath(field) || from.getValue(field).valueType() != ConfigValueType.NUMBER) {
+            throw new Defect(CONFIG_FIELD, path + ": must be a number");
+        }
+        return from.getLong(field);
+    }
+
+    private static String text(final Config from, final String field, final String path, final boolean needed) {
+        if (!from.hasPath(field)) {
+            if (needed) {
+                throw new Defect(CONFIG_FIELD, path + "." + field + ": is missing");
+            }
+            return "";
+        }
+        if (from.getValue(field).valueType() != ConfigValueType.STRING) {
+            throw new Defect(CONFIG_FIELD, path + "." + field + ": must be text");
+        }
+        return from.getString(field);
+    }
+
+    private static List<? extends Config> items(final Config from, final String field) {
+        return from.hasPath(field) ? from.getConfigList(field) : List.of();
+    }
+
+    private void readSpaces() {
+        final Set<String> services = new HashSet<>();
+        for (final Config service : items(whole, "Svcs")) {
+            services.add(text(service, "Name", "Svcs", true));
+        }
+        final Set<String> names = new HashSet<>();
+        final Set<String> places = new HashSet<>();
+        for (final Config route : items(whole, "Routes")) {
+            final String name = text(route, "Name", "Routes", true);
+            final String path = "Routes." + name;
+            final String host = text(route, "Host", path, false);
+            final String prefix = text(route, "Pfx", path, true);
+            final String service = text(route, "Svc", path, false);
+            if (!names.add(name)) {
+                throw new Defect(CONFIG_PLACE, path + ": the name stands twice");
+            }
+            if (!places.add(host + " " + prefix)) {
+                throw new Defect(CONFIG_PLACE, path + ": another route has the same Host and Pfx");
+            }
+            if (!service.isEmpty() && !services.contains(service)) {
+                throw new Defect(CONFIG_SERVICE, path + ".Svc: there is no service " + service);
+            }
+            if (!route.hasPath("TimeoutMs") || route.getDouble("TimeoutMs") <= 0) {
+                throw new Defect(CONFIG_TIMEOUT, path + ".TimeoutMs: must be above 0");
+            }
+            final double keepS = route.hasPath("LingerS") ? route.getDouble("LingerS") : 0;
+            spaces.add(new Space(name, host, prefix, (long) route.getDouble("TimeoutMs"), (long) (keepS * 1_000),
+                route.hasPath("Public") && route.getBoolean("Public")));
+        }
+        // The longest prefix wins: the first that fits is the one.
+        spaces.sort((one, other) -> other.prefix.length() - one.prefix.length());
+    }
+
+    private void readTenants() {
+        for (final Config item : items(whole, "Tenants")) {
+            final String name = text(item, "Name", "Tenants", true);
+            final Set<String> keys = new HashSet<>(item.hasPath("Apikeys") ? item.getStringList("Apikeys") : List.of());
+            final Tenant tenant = new Tenant(name, keys, item.hasPath("RatePerS") ? item.getDouble("RatePerS") : 0,
+                item.hasPath("Burst") ? item.getDouble("Burst") : 0);
+            if (tenantsByName.put(name, tenant) != null) {
+                throw new Defect(CONFIG_KEY, "Tenants." + name + ": the name stands twice");
+            }
+            for (final String key : keys) {
+                if (tenantsByKey.put(key, tenant) != null) {
+                    throw new Defect(CONFIG_KEY, "Tenants." + name + ".Apikeys: another tenant has the same key");
+                }
+            }
+        }
+    }
+
+    public long version() {
+        return version;
+    }
+
+    public Space space(final String topic) {
+        for (final Space space : spaces) {
+            if (space.host.isEmpty() && topic.startsWith(space.prefix)) {
+                return space;
+            }
+        }
+        return null;
+    }
+
+    public Tenant tenantOfKey(final String key) {
+        return tenantsByKey.get(key);
+    }
+
+    public Tenant tenant(final String name) {
+        return tenantsByName.get(name);
+    }
+
+    public int subs() {
+        return subs;
+    }
+
+    /** The longest TimeoutMs of all spaces. */
+    public long longestTimeoutMs() {
+        return spaces.stream().mapToLong(Space::timeoutMs).max().orElse(1_000);
+    }
+
+    public String json() {
+        return render(whole);
+    }
+
+    static String render(final Config config) {
+        return config.root().render(ConfigRenderOptions.concise());
+    }
+
+    /** What an update makes of this configuration: named items replaced, added or removed. */
+    Config updated(final Config update) {
+        final Config upserts = update.hasPath("Upsert") ? update.getConfig("Upsert") : ConfigFactory.empty();
+        final Config removals = update.hasPath("Del") ? update.getConfig("Del") : ConfigFactory.empty();
+        final Set<String> lists = new HashSet<>(upserts.root().keySet());
+        lists.addAll(removals.root().keySet());
+        Config changed = whole.withValue("Ver", update.getValue("Ver"));
+        for (final String list : lists) {
+            changed = changed.withValue(list, merged(list, upserts, removals));
+        }
+        return changed;
+    }
+
+    private ConfigValue merged(final String list, final Config upserts, final Config removals) {
+        // Lims is no list of named items: an Upsert of it stands for the whole of it.
+        if (upserts.hasPath(list) && upserts.getValue(list).valueType() == ConfigValueType.OBJECT) {
+            return upserts.getValue(list);
+        }
+        final Map<String, ConfigValue> byName = new java.util.LinkedHashMap<>();
+        for (final Config item : items(whole, list)) {
+            byName.put(text(item, "Name", list, true), item.root());
+        }
+        for (final String name : removals.hasPath(list) ? removals.getStringList(list) : List.<String>of()) {
+            byName.remove(name);
+        }
+        for (final Config item : items(upserts, list)) {
+            byName.put(text(item, "Name", "Upsert." + list, true), item.root());
+        }
+        return com.typesafe.config.ConfigValueFactory.fromIterable(byName.values());
+    }
+}
--- /dev/null
+++ b/src/main/java/yewjunction/charter/Core.java
@@ -0,0 +1,178 @@
+package yewjunction.charter;
+
+import io.protostuff.LinkedBuffer;
+import io.protostuff.ProtostuffIOUtil;
+import io.protostuff.Schema;
+import io.protostuff.runtime.RuntimeSchema;
+import java.util.ArrayList;
+import java.util.List;
+import yewjunction.base.Event;
+import yewjunction.ledger.Machine;
+
+import static yewjunction.base.Limits.TAKEN_VERSIONS;
+
+/** The state that the core's ledger drives; the same on every crux. */
+final class Core implements Machine {
+    private static final Schema<Deed> DEEDS = RuntimeSchema.getSchema(Deed.class);
+    private static final Schema<Image> IMAGES = RuntimeSchema.getSchema(Image.class);
+    private Image image = new Image();
+    private Charter current;
+    private final Watcher watcher;
+
+    /** All of the state, as a snapshot holds it. */
+    static final class Image {
+        String json;
+        List<Taken> taken = new ArrayList<>();
+        Facts facts = new Facts();
+    }
+
+    /** An errand that was taken, so that its exact repeat is known. */
+    static final class Taken {
+        long version;
+        String digest = "";
+    }
+
+    /** Told what changed here. */
+    interface Watcher {
+        void configChanged();
+
+        void factsChanged();
+
+        void settledTo(long commit);
+
+        void leaderIs(String identity, boolean self);
+    }
+
+    Core(final Watcher watcher) {
+        this.watcher = watcher;
+    }
+
+    static byte[] bytes(final Deed deed) {
+        return ProtostuffIOUtil.toByteArray(deed, DEEDS, LinkedBuffer.allocate(512));
+    }
+
+    long version() {
+        return current == null ? 0 : current.version();
+    }
+
+    Charter current() {
+        return current;
+    }
+
+    Facts facts() {
+        return image.facts;
+    }
+
+    boolean taken(final long version, final String digest) {
+        return image.taken.stream().anyMatch(one -> one.version == version && one.digest.equals(digest));
+    }
+
+    @Override
+    public void apply(final long index, final byte[] data) {
+        final Deed deed = DEEDS.newMessage();
+        ProtostuffIOUtil.mergeFrom(data, deed, DEEDS);
+        if (deed.kind == Deed.CONFIG) {
+            config(deed);
+        } else if (fact(deed)) {
+            image.facts.number = index;
+            watcher.factsChanged();
+        }
+    }
+
+    private void config(final Deed deed) {
+        final Charter next = Charter.read(deed.json);
+        // Invariant: versions only rise, each on top of the one it names.
+        if (deed.base != version() || next.version() <= version()) {
+            throw new IllegalStateException("version " + next.version() + " on " + deed.base + " after " + version());
+        }
+        current = next;
+        image.json = deed.json;
+        final Taken taken = new Taken();
+        taken.version = next.version();
+        taken.digest = deed.digest;
+        image.taken.add(taken);
+        if (image.taken.size() > TAKEN_VERSIONS) {
+            image.taken.remove(0);
+        }
+        Event.CONFIG_TAKEN.info("version " + next.version());
+        watcher.configChanged();
+    }
+
+    private boolean fact(final Deed deed) {
+        final Facts facts = image.facts;
+        switch (deed.kind) {
+            case Deed.REPLICA -> {
+                if (facts.replica(deed.address, deed.life) != 0) {
+                    return false;
+                }
+                // A new process at an address means that the old one there is gone for good.
+                facts.replicas.removeIf(replica -> replica.address.equals(deed.address));
+                final Facts.Replica replica = new Facts.Replica();
+                replica.name = ++facts.newestReplica;
+                replica.address = deed.address;
+                replica.life = deed.life;
+                facts.replicas.add(replica);
+                Event.REPLICA_GIVEN.info(replica.name + " to " + deed.node);
+            }
+            case Deed.REPLICA_GONE -> {
+                Event.REPLICA_RETIRED.info(String.valueOf(deed.name));
+                return facts.replicas.removeIf(replica -> replica.name == deed.name);
+            }
+            case Deed.VAULTS -> {
+                if (!facts.vaults.isEmpty()) {
+                    return false;
+                }
+                facts.vaults.addAll(deed.identities);
+                Event.VAULTS_CHOSEN.info(String.valueOf(deed.identities));
+            }
+            case Deed.RETIRE -> {
+                if (facts.retiring(deed.node) != null) {
+                    return false;
+                }
+                final Facts.Retiring retiring = new Facts.Retiring();
+                retiring.node = deed.node;
+                retiring.address = deed.address;
+                facts.retiring.add(retiring);
+                Event.MACHINE_RETIRING.info(deed.node);
+            }
+            case Deed.RETIRED -> {
+                final Facts.Retiring retiring = facts.retiring(deed.node);
+                if (retiring == null || retiring.finished) {
+                    return false;
+                }
+                retiring.finished = true;
+                Event.MACHINE_RETIRED.info(deed.node);
+            }
+            default -> throw new IllegalStateException("deed " + deed.kind);
+        }
+        return true;
+    }
+
+    @Override
+    public byte[] snapshot() {
+        return ProtostuffIOUtil.toByteArray(image, IMAGES, LinkedBuffer.allocate(4096));
+    }
+
+    @Override
+    public void restore(final long index, final byte[] state) {
+        final Image restored = IMAGES.newMessage();
+        ProtostuffIOUtil.mergeFrom(state, restored, IMAGES);
+        image = restored;
+        if (image.facts == null) {
+            image.facts = new Facts();
+        }
+        current = image.json == null ? null : Charter.read(image.json);
+        watcher.configChanged();
+        watcher.factsChanged();
+    }
+
+    @Override
+    public void leader(final String identity, final boolean self) {
+        watcher.leaderIs(identity, self);
+    }
+
+    @Override
+    public void settled(final long commit) {
+        watcher.settledTo(commit);
+    }
+}
--- /dev/null
+++ b/src/main/java/yewjunction/charter/Deed.java
@@ -0,0 +1,35 @@
+package yewjunction.charter;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** One entry of the core's ledger. */
+final class Deed {
+    static final int CONFIG = 1;
+    static final int REPLICA = 2;
+    static final int REPLICA_GONE = 3;
+    static final int VAULTS = 4;
+    static final int RETIRE = 5;
+    static final int RETIRED = 6;
+
+    int kind;
+    /** CONFIG: the whole of it, the version it builds on, and the digest of the errand that brought it. */
+    String json = "";
+    long base;
+    String digest = "";
+    /** REPLICA, RETIRE. */
+    String address = "";
+    String node = "";
+    long life;
+    /** REPLICA_GONE. */
+    long name;
+    /** VAULTS. */
+    List<String> identities = new ArrayList<>();
+
+    Deed() {
+    }
+
+    Deed(final int kind) {
+        this.kind = kind;
+    }
+}
--- /dev/null
+++ b/src/main/java/yewjunction/charter/Lessor.java
@@ -0,0 +1,157 @@
+package yewjunction.charter;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import yewjunction.base.Link;
+import yewjunction.base.Post;
+import yewjunction.base.Pulse;
+import yewjunction.charter.Letters.Confirm;
+import yewjunction.charter.Letters.Confirmed;
+import yewjunction.charter.Letters.Lease;
+import yewjunction.charter.Letters.Renew;
+import yewjunction.ledger.Ledger;
+
+import static yewjunction.base.Limits.LEASE_ANSWER_MS;
+
+/** Home for the tides and vaults of a zone: leases on the leader's confirmed word, and news at once. */
+final class Lessor {
+    private final Pulse pulse;
+    private final Post post;
+    private final Core core;
+    private final Ledger ledger;
+    private final Registrar registrar;
+    private final Map<Link, Renew> subscribers = new HashMap<>();
+    private List<Asked> waiting = new ArrayList<>();
+    private List<Asked> underWay = new ArrayList<>();
+    private final List<Proven> proven = new ArrayList<>();
+    private long number;
+    private long askedMs;
+    private boolean telling;
+
+    private record Asked(Link link, Renew renew) {
+    }
+
+    /** Confirmed up to a commit that this home may not have applied yet. */
+    private record Proven(long commit, List<Asked> asked) {
+    }
+
+    Lessor(final Pulse pulse, final Post post, final Core core, final Ledger ledger, final Registrar registrar) {
+        this.pulse = pulse;
+        this.post = post;
+        this.core = core;
+        this.ledger = ledger;
+        this.registrar = registrar;
+        post.on(Renew.class, this::renew);
+        post.on(Confirm.class, this::confirm);
+        post.on(Confirmed.class, (link, confirmed) -> confirmed(confirmed));
+        post.onClose(subscribers::remove);
+    }
+
+    private void renew(final Link link, final Renew renew) {
+        subscribers.put(link, renew);
+        registrar.heard(renew.who);
+        waiting.add(new Asked(link, renew));
+        ask();
+    }
+
+    /** One question to the leader at a time; what comes meanwhile rides on the next, never on an earlier one. */
+    private void ask() {
+        final long nowMs = pulse.nowMs();
+        final boolean lost = nowMs - askedMs > LEASE_ANSWER_MS / 2;
+        if (waiting.isEmpty() || !underWay.isEmpty() && !lost) {
+            return;
+        }
+        if (ledger.leads()) {
+            final List<Asked> asked = waiting;
+            waiting = new ArrayList<>();
+            ledger.confirm(held -> {
+                if (held) {
+                    asked.forEach(this::grant);
+                }
+            });
+        } else if (ledger.leader() != null && !ledger.leader().equals(ledger.identity())) {
+            underWay = waiting;
+            waiting = new ArrayList<>();
+            askedMs = nowMs;
+            final Confirm confirm = new Confirm();
+            confirm.number = ++number;
+            post.dial(Ledger.address(ledger.leader())).send(confirm);
+        } else {
+            // Nobody leads: the askers ask again, and none of them gets a lease on old ground.
+            waiting.clear();
+        }
+    }
+
+    private void confirm(final Link link, final Confirm confirm) {
+        ledger.confirm(held -> {
+            final Confirmed confirmed = new Confirmed();
+            confirmed.number = confirm.number;
+            confirmed.held = held;
+            confirmed.commit = ledger.commit();
+            link.send(confirmed);
+        });
+    }
+
+    private void confirmed(final Confirmed confirmed) {
+        if (confirmed.number != number) {
+            return;
+        }
+        final List<Asked> asked = underWay;
+        underWay = new ArrayList<>();
+        if (confirmed.held) {
+            proven.add(new Proven(confirmed.commit, asked));
+            settled();
+        }
+        ask();
+    }
+
+    /** Grants what was proven once this home has applied as much. */
+    void settled() {
+        for (final Proven one : List.copyOf(proven)) {
+            if (ledger.applied() >= one.commit) {
+                proven.remove(one);
+                one.asked.forEach(this::grant);
+            }
+        }
+    }
+
+    private void grant(final Asked asked) {
+        final Lease lease = news(asked.renew);
+        lease.held = true;
+        lease.askedMs = asked.renew.askedMs;
+        asked.link.send(lease);
+    }
+
+    private Lease news(final Renew known) {
+        final Lease lease = new Lease();
+        lease.version = core.version();
+        if (known.version < core.version()) {
+            lease.json = core.current().json();
+            known.version = core.version();
+        }
+        if (known.factsNumber < core.facts().number) {
+            lease.facts = core.facts();
+            known.factsNumber = core.facts().number;
+        }
+        return lease;
+    }
+
+    /** Tells all subscribers; what one turn changes goes out in one letter. */
+    void tell() {
+        if (telling) {
+            return;
+        }
+        telling = true;
+        pulse.post(() -> {
+            telling = false;
+            subscribers.forEach((link, known) -> {
+                final Lease news = news(known);
+                if (news.json != null || news.facts != null) {
+                    link.send(news);
+                }
+            });
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/yewjunction/charter/Letters.java
@@ -0,0 +1,64 @@
+package yewjunction.charter;
+
+import java.util.ArrayList;
+import java.util.List;
+import yewjunction.base.Codec;
+
+/** What tides, vaults and cruxes say to one another about configuration and leases. */
+public final class Letters {
+    private Letters() {
+    }
+
+    public static void know(final Codec codec) {
+        codec.know(50, Renew.class).know(51, Lease.class).know(52, Confirm.class).know(53, Confirmed.class)
+            .know(54, Enlist.class);
+    }
+
+    /** Asks a home for a lease, says what is known already, and names this process. */
+    static final class Renew {
+        long askedMs;
+        long version;
+        long factsNumber;
+        Who who = new Who();
+    }
+
+    /** Who asks: a tide that needs a replica name, or a vault. */
+    static final class Who {
+        String address = "";
+        String node = "";
+        String zone = "";
+        String duty = "";
+        long life;
+        /** A vault's ledger identity. */
+        String identity = "";
+        /** Nodes that hold no duty any more, told by the vault group's leader. */
+        List<String> emptied = new ArrayList<>();
+    }
+
+    /** A lease when held is set, else only news. */
+    static final class Lease {
+        boolean held;
+        long askedMs;
+        long version;
+        /** The configuration, when newer than what the asker has. */
+        String json;
+        /** The facts, when newer. */
+        Facts facts;
+    }
+
+    /** A home asks the leader to confirm its leadership with a majority. */
+    static final class Confirm {
+        long number;
+    }
+
+    static final class Confirmed {
+        long number;
+        boolean held;
+        long commit;
+    }
+
+    /** A home tells the leader of a process that needs a name, or of a vault. */
+    static final class Enlist {
+        Who who = new Who();
+    }
+}
--- /dev/null
+++ b/src/main/java/yewjunction/charter/Registrar.java
@@ -0,0 +1,177 @@
+package yewjunction.charter;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import yewjunction.base.Post;
+import yewjunction.base.Pulse;
+import yewjunction.charter.Letters.Enlist;
+import yewjunction.charter.Letters.Who;
+import yewjunction.ledger.Ledger;
+import yewjunction.roster.Roster;
+import yewjunction.roster.Sibling;
+
+import static yewjunction.base.Limits.ENROL_MS;
+import static yewjunction.base.Limits.REPLICA_GONE_MS;
+
+/** The leader's decisions about processes: replica names, the first vault voters, retirements. */
+final class Registrar {
+    private final Pulse pulse;
+    private final Post post;
+    private final Core core;
+    private final Ledger ledger;
+    private final Roster roster;
+    private final int voterCount;
+    private final Map<String, Seen> vaults = new TreeMap<>();
+    private final Map<String, Long> goneMs = new HashMap<>();
+    private final Set<String> proposed = new HashSet<>();
+
+    private record Seen(Who who, long atMs) {
+    }
+
+    Registrar(final Pulse pulse, final Post post, final Core core, final Ledger ledger, final Roster roster, final int voterCount) {
+        this.pulse = pulse;
+        this.post = post;
+        this.core = core;
+        this.ledger = ledger;
+        this.roster = roster;
+        this.voterCount = voterCount;
+        post.on(Enlist.class, (link, enlist) -> heard(enlist.who));
+        pulse.every(ENROL_MS, this::look);
+    }
+
+    void heard(final Who who) {
+        final boolean vault = who.duty.equals("vault");
+        if (!ledger.leads()) {
+            // Only the leader decides; vaults are told of each time, tides until they have their name.
+            if (ledger.leader() != null && !ledger.leader().equals(ledger.identity())
+                && (vault || core.facts().replica(who.address, who.life) == 0)) {
+                final Enlist enlist = new Enlist();
+                enlist.who = who;
+                post.dial(Ledger.address(ledger.leader())).send(enlist);
+            }
+            return;
+        }
+        if (vault) {
+            vaults.put(who.address, new Seen(who, pulse.nowMs()));
+            chooseVaults();
+            who.emptied.forEach(this::retired);
+        } else if (core.facts().replica(who.address, who.life) == 0) {
+            final Deed deed = new Deed(Deed.REPLICA);
+            deed.address = who.address;
+            deed.node = who.node;
+            deed.life = who.life;
+            propose("replica " + who.address + " " + who.life, deed);
+        }
+    }
+
+    private void propose(final String what, final Deed deed) {
+        if (proposed.add(what) && !ledger.propose(Core.bytes(deed), done -> proposed.remove(what))) {
+            proposed.remove(what);
+        }
+    }
+
+    /** As many voters as the losses to be borne need, in different zones while there are enough of them. */
+    private void chooseVaults() {
+        if (!core.facts().vaults.isEmpty()) {
+            return;
+        }
+        final List<String> identities = new ArrayList<>();
+        final Set<String> zones = new HashSet<>();
+        for (final Seen seen : vaults.values()) {
+            if (identities.size() < voterCount && zones.add(seen.who.zone)) {
+                identities.add(seen.who.identity);
+            }
+        }
+        if (identities.size() >= voterCount || enoughInFewZones(identities)) {
+            final Deed deed = new Deed(Deed.VAULTS);
+            deed.identities = identities;
+            propose("vaults", deed);
+        }
+    }
+
+    private boolean enoughInFewZones(final List<String> identities) {
+        // Fewer zones than voters: only once the vaults have had time to call, so that no zone is left out.
+        if (vaults.size() < voterCount || ledger.applied() < 1 || pulse.nowMs() - firstMs() < 6 * ENROL_MS) {
+            return false;
+        }
+        for (final Seen seen : vaults.values()) {
+            if (identities.size() < voterCount && !identities.contains(seen.who.identity)) {
+                identities.add(seen.who.identity);
+            }
+        }
+        return true;
+    }
+
+    private long startedMs = -1;
+
+    private long firstMs() {
+        if (startedMs < 0) {
+            startedMs = pulse.nowMs();
+        }
+        return startedMs;
+    }
+
+    private void look() {
+        if (!ledger.leads()) {
+            goneMs.clear();
+            vaults.clear();
+            startedMs = -1;
+            return;
+        }
+        final long nowMs = pulse.nowMs();
+        for (final Facts.Replica replica : List.copyOf(core.facts().replicas)) {
+            final Sibling sibling = roster.at(replica.address);
+            if (sibling != null && sibling.up()) {
+                goneMs.remove(replica.address);
+            } else if (nowMs - goneMs.computeIfAbsent(replica.address, key -> nowMs) > REPLICA_GONE_MS) {
+                final Deed deed = new Deed(Deed.REPLICA_GONE);
+                deed.name = replica.name;
+                propose("gone " + replica.name, deed);
+            }
+        }
+    }
+
+    // --- emptying store machines ---
+
+    private Seen vault(final String node) {
+        for (final Seen seen : vaults.values()) {
+            if (seen.who.node.equals(node) && pulse.nowMs() - seen.atMs < 10 * ENROL_MS) {
+                return seen;
+            }
+        }
+        return null;
+    }
+
+    boolean knows(final String node) {
+        return vault(node) != null || core.facts().retiring(node) != null;
+    }
+
+    /** Whether enough vaults stay when this one goes. */
+    boolean spares(final String node) {
+        final Set<String> retiring = core.facts().retiringAddresses();
+        final long staying = vaults.values().stream().filter(seen -> !seen.who.node.equals(node)
+            && !retiring.contains(seen.who.address) && pulse.nowMs() - seen.atMs < 10 * ENROL_MS).count();
+        return staying >= voterCount;
+    }
+
+    Deed retirement(final String node) {
+        final Deed deed = new Deed(Deed.RETIRE);
+        deed.node = node;
+        deed.address = vault(node).who.address;
+        return deed;
+    }
+
+    private void retired(final String node) {
+        final Facts.Retiring retiring = core.facts().retiring(node);
+        if (retiring != null && !retiring.finished) {
+            final Deed deed = new Deed(Deed.RETIRED);
+            deed.node = node;
+            propose("retired " + node, deed);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/yewjunction/charter/Tenure.java
@@ -0,0 +1,135 @@
+package yewjunction.charter;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Supplier;
+import yewjunction.base.Event;
+import yewjunction.base.Link;
+import yewjunction.base.Post;
+import yewjunction.base.Pulse;
+import yewjunction.charter.Letters.Lease;
+import yewjunction.charter.Letters.Renew;
+import yewjunction.charter.Letters.Who;
+
+import static yewjunction.base.Limits.LEASE_ANSWER_MS;
+import static yewjunction.base.Limits.LEASE_MS;
+import static yewjunction.base.Limits.LEASE_PACE_MS;
+
+/** A tide's or vault's hold on the configuration: renewed from a home crux, lapsed when no majority stands behind it. */
+public final class Tenure {
+    private final Pulse pulse;
+    private final Post post;
+    private final Who who = new Who();
+    private final Supplier<List<String>> homes;
+    private final Watcher watcher;
+    private Charter charter;
+    private Facts facts = new Facts();
+    private long leaseEndMs = Long.MIN_VALUE;
+    private boolean held;
+    private int shot;
+    private long askNumber;
+    private long answeredNumber;
+
+    /** Told of what changed. */
+    public interface Watcher {
+        void configChanged(Charter charter);
+
+        void factsChanged(Facts facts);
+    }
+
+    /** Homes: addresses of cruxes, the nearest first. */
+    public Tenure(final Pulse pulse, final Post post, final Supplier<List<String>> homes, final Watcher watcher) {
+        this.pulse = pulse;
+        this.post = post;
+        this.homes = homes;
+        this.watcher = watcher;
+        post.on(Lease.class, this::leased);
+    }
+
+    public Tenure named(final String address, final String node, final String zone, final String duty, final long life) {
+        who.address = address;
+        who.node = node;
+        who.zone = zone;
+        who.duty = duty;
+        who.life = life;
+        return this;
+    }
+
+    /** A vault's ledger identity. */
+    public void identity(final String identity) {
+        who.identity = identity;
+    }
+
+    /** Nodes that the vault group's leader has emptied. */
+    public void emptied(final List<String> nodes) {
+        who.emptied = new ArrayList<>(nodes);
+    }
+
+    public void start() {
+        renew();
+    }
+
+    private void renew() {
+        final List<String> known = homes.get();
+        final boolean silent = answeredNumber < askNumber;
+        if (silent) {
+            // The home did not answer: it may be dark, so the next nearest is asked.
+            shot++;
+        }
+        if (!known.isEmpty()) {
+            askNumber++;
+            final Renew renew = new Renew();
+            renew.askedMs = pulse.nowMs();
+            renew.version = version();
+            renew.factsNumber = facts.number;
+            renew.who = who;
+            final Link link = post.dial(known.get(shot % known.size()));
+            link.send(renew);
+        }
+        pulse.after(known.isEmpty() || silent || charter == null ? LEASE_ANSWER_MS / 2 : LEASE_PACE_MS, this::renew);
+        if (held && !held()) {
+            held = false;
+            Event.LEASE_LAPSED.warn("version " + version());
+        }
+    }
+
+    private void leased(final Link link, final Lease lease) {
+        if (lease.facts != null && lease.facts.number > facts.number) {
+            facts = lease.facts;
+            watcher.factsChanged(facts);
+        }
+        // A version never goes backwards in one life of a process.
+        if (lease.json != null && lease.version > version()) {
+            charter = Charter.read(lease.json);
+            Event.CONFIG_APPLIED.info("version " + charter.version());
+            watcher.configChanged(charter);
+        }
+        // The lease counts only with the version it stands for.
+        if (lease.held && lease.version <= version()) {
+            answeredNumber = askNumber;
+            leaseEndMs = Math.max(leaseEndMs, lease.askedMs + LEASE_MS);
+            if (!held && held()) {
+                held = true;
+                Event.LEASE_HELD.info("version " + version());
+            }
+        }
+    }
+
+    public long version() {
+        return charter == null ? 0 : charter.version();
+    }
+
+    /** The configuration in force here, null before the first. */
+    public Charter charter() {
+        return charter;
+    }
+
+    public Facts facts() {
+        return facts;
+    }
+
+    /** Whether errands may be admitted and messages delivered right now. */
+    public boolean held() {
+        return charter != null && pulse.nowMs() < leaseEndMs;
+    }
+}
--- /dev/null
+++ b/src/main/java/yewjunction/dock/Berth.java
@@ -0,0 +1,173 @@
+package yewjunction.dock;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import yewjunction.base.Event;
+import yewjunction.loom.Line;
+import yewjunction.loom.Outbox;
+import yewjunction.vault.Message;
+
+import static yewjunction.base.Limits.CLIENT_QUEUE_BYTES;
+
+/** One client's link: what it has said, what it subscribes, and how answers are written to it. */
+final class Berth implements Line.Owner {
+    private static final byte[] END = {'\r', '\n'};
+    final Line line;
+    final Map<String, Sub> subs = new LinkedHashMap<>();
+    private final Dock dock;
+    private final Words words = new Words();
+    String client = "";
+    String secret = "";
+    long heardMs;
+    int underWay;
+    boolean moved;
+
+    /** One topic on this link. */
+    static final class Sub {
+        final Berth berth;
+        final String topic;
+        /** What the client gave, -1 for none. */
+        final long position;
+        final long sinceMs;
+        long instance;
+        /** Messages up to here were delivered or are not wanted. */
+        long after;
+        boolean open;
+
+        Sub(final Berth berth, final String topic, final long position, final long sinceMs) {
+            this.berth = berth;
+            this.topic = topic;
+            this.position = position;
+            this.sinceMs = sinceMs;
+        }
+    }
+
+    Berth(final Dock dock, final Line line, final long nowMs) {
+        this.dock = dock;
+        this.line = line;
+        heardMs = nowMs;
+    }
+
+    boolean greeted() {
+        return !client.isEmpty();
+    }
+
+    @Override
+    public int take(final byte[] bytes, final int length) {
+        heardMs = dock.nowMs();
+        int at = 0;
+        while (at < length && line.open()) {
+            final int state = words.wrap(bytes, at, length);
+            if (state == Words.MORE) {
+                break;
+            }
+            if (state == Words.LOST) {
+                lost("BADMSG");
+                return length;
+            }
+            if (state == Words.GOOD) {
+                dock.errands().take(this, words);
+            } else {
+                refuse("PUB", words.text(1), words.count() > 3 ? words.text(2) : "", state == Words.BAD ? "BADMSG" : "TOOBIG");
+                if (words.bodyUnread()) {
+                    line.closeSoon();
+                    return length;
+                }
+            }
+            at = words.end();
+        }
+        return at;
+    }
+
+    private void lost(final String reason) {
+        Event.CLIENT_GARBLED.info(client);
+        // The word can be told only when it stands there whole.
+        if (words.count() > 0 && !words.text(0).isEmpty()) {
+            refuse(words.text(0), "", "", reason);
+        }
+        line.closeSoon();
+    }
+
+    @Override
+    public void closed() {
+        dock.gone(this);
+    }
+
+    private static void field(final Outbox out, final String text) {
+        out.putAscii(" ");
+        out.putAscii(text.isEmpty() ? "-" : text);
+    }
+
+    private void done(final Outbox out) {
+        out.put(END, 0, 2);
+        // A client that reads slowly is cut; it takes up its cursors when it comes back.
+        if (line.waiting() > CLIENT_QUEUE_BYTES) {
+            Event.CLIENT_SLOW.info(client);
+            line.close();
+        }
+    }
+
+    void ok(final String about, final String topic, final String position) {
+        final Outbox out = line.out();
+        out.putAscii("OK ");
+        out.putAscii(about);
+        if (!topic.isEmpty()) {
+            field(out, topic);
+        }
+        if (!position.isEmpty()) {
+            field(out, position);
+        }
+        done(out);
+    }
+
+    void refuse(final String about, final String topic, final String number, final String reason) {
+        final Outbox out = line.out();
+        out.putAscii("REFUSE ");
+        out.putAscii(about);
+        field(out, topic);
+        field(out, number);
+        field(out, reason);
+        done(out);
+    }
+
+    void ack(final String topic, final long number) {
+        final Outbox out = line.out();
+        out.putAscii("ACK ");
+        out.putAscii(topic);
+        out.putAscii(" ");
+        out.putNumber(number);
+        done(out);
+    }
+
+    void count(final String topic, final int number) {
+        final Outbox out = line.out();
+        out.putAscii("COUNT ");
+        out.putAscii(topic);
+        out.putAscii(" ");
+        out.putNumber(number);
+        done(out);
+    }
+
+    void plain(final String text) {
+        final Outbox out = line.out();
+        out.putAscii(text);
+        done(out);
+    }
+
+    void message(final Message message) {
+        final Outbox out = line.out();
+        out.putAscii("MSG ");
+        out.putAscii(message.topic);
+        out.putAscii(" ");
+        out.putNumber(message.index);
+        out.putAscii(" ");
+        out.putAscii(message.client);
+        out.putAscii(" ");
+        out.putNumber(message.number);
+        out.putAscii(" ");
+        out.putNumber(message.body.length);
+        out.put(END, 0, 2);
+        out.put(message.body, 0, message.body.length);
+        done(out);
+    }
+}
--- /dev/null
+++ b/src/main/java/yewjunction/dock/Dock.java
@@ -0,0 +1,276 @@
+package yewjunction.dock;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.LongPredicate;
+import yewjunction.base.Post;
+import yewjunction.base.Pulse;
+import yewjunction.charter.Charter;
+import yewjunction.charter.Tenure;
+import yewjunction.dock.Berth.Sub;
+import yewjunction.herald.Envoy;
+import yewjunction.loom.Line;
+import yewjunction.vault.Message;
+import yewjunction.weave.Weave;
+
+import static yewjunction.base.Limits.AWAY_MS;
+import static yewjunction.base.Limits.DOCK_SWEEP_MS;
+import static yewjunction.base.Limits.JOIN_ANSWER_MS;
+import static yewjunction.base.Limits.SILENT_PINGS;
+
+/** All clients of one edge. */
+public final class Dock implements Envoy.Watcher {
+    /** turns; more than this held back under a lapsed lease is given up. */
+    private static final int STALLED_MOST = 20_000;
+    private final Pulse pulse;
+    private final Tenure tenure;
+    private final Weave weave;
+    private final Errands errands;
+    private final Shipping shipping;
+    private final long silentMs;
+    private final Map<String, Berth> clients = new HashMap<>();
+    private final Map<String, Long> awayMs = new HashMap<>();
+    private final Map<String, List<Sub>> byTopic = new HashMap<>();
+    private final Map<Long, Sub> joining = new LinkedHashMap<>();
+    private final ArrayDeque<Runnable> stalled = new ArrayDeque<>();
+    private LongPredicate live = replica -> true;
+    private Envoy envoy;
+    private Drain drain;
+    private long joins;
+
+    public Dock(final Pulse pulse, final Post post, final Tenure tenure, final Weave weave, final double pingS) {
+        this.pulse = pulse;
+        this.tenure = tenure;
+        this.weave = weave;
+        errands = new Errands(this, tenure, weave);
+        shipping = new Shipping(pulse, post);
+        silentMs = (long) (pingS * 1_000 * SILENT_PINGS);
+        pulse.every(DOCK_SWEEP_MS, this::look);
+    }
+
+    public void envoy(final Envoy chosenEnvoy) {
+        envoy = chosenEnvoy;
+    }
+
+    /** Which replicas count as there. */
+    public void live(final LongPredicate chosenLive) {
+        live = chosenLive;
+    }
+
+    public Line.Owner greet(final Line line) {
+        return new Berth(this, line, pulse.nowMs());
+    }
+
+    long nowMs() {
+        return pulse.nowMs();
+    }
+
+    Errands errands() {
+        return errands;
+    }
+
+    Shipping shipping() {
+        return shipping;
+    }
+
+    List<Berth> berths() {
+        return new ArrayList<>(clients.values());
+    }
+
+    int count(final String topic) {
+        return weave.count(topic, live);
+    }
+
+    void greeted(final Berth berth) {
+        final Berth older = clients.put(berth.client, berth);
+        // The newest link owns the client: the older one gets nothing more.
+        if (older != null) {
+            older.line.close();
+        }
+        awayMs.remove(berth.client);
+        weave.absent(berth.client, false);
+    }
+
+    void gone(final Berth berth) {
+        for (final Sub sub : new ArrayList<>(berth.subs.values())) {
+            forget(sub);
+        }
+        shipping.gone(berth);
+        if (clients.remove(berth.client, berth)) {
+            // A cut is no unsubscribe: the set keeps the client, marked as away.
+            weave.absent(berth.client, true);
+            awayMs.put(berth.client, pulse.nowMs());
+        }
+    }
+
+    void moveIfDraining(final Berth berth) {
+        if (drain != null) {
+            drain.move(berth);
+        }
+    }
+
+    public void drain(final Drain chosenDrain) {
+        drain = chosenDrain;
+    }
+
+    // --- subscriptions ---
+
+    void join(final Sub sub) {
+        sub.berth.subs.put(sub.topic, sub);
+        // Taken up from another edge: that edge's instance is cancelled by the set's own operations.
+        if (weave.elsewhere(sub.topic, sub.berth.client)) {
+            weave.remove(sub.topic, sub.berth.client);
+        }
+        sub.instance = weave.add(sub.topic, sub.berth.client);
+        final long errand = ++joins;
+        joining.put(errand, sub);
+        envoy.notice(errand, sub.topic, sub.instance, sub.position);
+    }
+
+    @Override
+    public void attached() {
+        joining.forEach((errand, sub) -> envoy.notice(errand, sub.topic, sub.instance, sub.position));
+    }
+
+    @Override
+    public void taken(final long errand, final boolean expired, final long position, final List<Message> behind) {
+        final Sub sub = joining.remove(errand);
+        if (sub == null || sub.berth.subs.get(sub.topic) != sub) {
+            return;
+        }
+        if (expired) {
+            forget(sub);
+            weave.remove(sub.topic, sub.berth.client);
+            sub.berth.refuse("SUB", sub.topic, "", "EXPIRED");
+            return;
+        }
+        sub.after = sub.position >= 0 ? sub.position : position;
+        byTopic.computeIfAbsent(sub.topic, key -> new ArrayList<>()).add(sub);
+        whenHeld(() -> {
+            if (sub.berth.subs.get(sub.topic) == sub) {
+                sub.open = true;
+                sub.berth.ok("SUB", sub.topic, String.valueOf(sub.after));
+                behind.forEach(message -> deliver(sub, message));
+                sub.after = Math.max(sub.after, position);
+            }
+        });
+    }
+
+    private void forget(final Sub sub) {
+        sub.berth.subs.remove(sub.topic, sub);
+        joining.values().remove(sub);
+        final List<Sub> subs = byTopic.get(sub.topic);
+        if (subs != null && subs.remove(sub) && subs.isEmpty()) {
+            byTopic.remove(sub.topic);
+        }
+    }
+
+    /** The client gives a topic up. */
+    void drop(final Berth berth, final String topic) {
+        final Sub sub = berth.subs.get(topic);
+        if (sub != null) {
+            forget(sub);
+        }
+        weave.remove(topic, berth.client);
+    }
+
+    // --- messages ---
+
+    @Override
+    public void message(final Message message) {
+        whenHeld(() -> {
+            final List<Sub> subs = byTopic.get(message.topic);
+            if (subs != null) {
+                // Copied: a slow client's link may be cut while it is written to.
+                new ArrayList<>(subs).forEach(sub -> deliver(sub, message));
+            }
+        });
+    }
+
+    private static void deliver(final Sub sub, final Message message) {
+        // Invariant of the stream: each index once and in order, whichever way it came.
+        if (sub.open && message.index > sub.after) {
+            sub.after = message.index;
+            sub.berth.message(message);
+        }
+    }
+
+    /** Nothing is delivered under a lapsed lease; what came meanwhile follows in its order. */
+    private void whenHeld(final Runnable delivery) {
+        if (stalled.isEmpty() && tenure.held()) {
+            delivery.run();
+        } else {
+            stalled.add(delivery);
+            if (stalled.size() > STALLED_MOST) {
+                gapped();
+            }
+        }
+    }
+
+    @Override
+    public void gapped() {
+        stalled.clear();
+        berths().forEach(berth -> berth.line.close());
+    }
+
+    @Override
+    public void leaderIs(final String address) {
+        shipping.leaderIs(address);
+    }
+
+    public void configChanged(final Charter charter) {
+        for (final Berth berth : berths()) {
+            for (final String topic : new ArrayList<>(berth.subs.keySet())) {
+                final String denial = Errands.charterDenial(charter, berth.secret, topic);
+                if (denial != null) {
+                    drop(berth, topic);
+                    berth.refuse("SUB", topic, "", denial);
+                }
+            }
+        }
+    }
+
+    /** Another edge took a client over: its instance here is cancelled, so the old link goes. */
+    public void setChanged() {
+        for (final Berth berth : berths()) {
+            for (final Sub sub : berth.subs.values()) {
+                if (weave.instance(sub.topic, berth.client, weave.self()) == 0) {
+                    berth.line.close();
+                    break;
+                }
+            }
+        }
+    }
+
+    private void look() {
+        final long nowMs = pulse.nowMs();
+        while (!stalled.isEmpty() && tenure.held()) {
+            stalled.poll().run();
+        }
+        shipping.look(nowMs);
+        for (final Sub sub : new ArrayList<>(joining.values())) {
+            if (nowMs - sub.sinceMs > JOIN_ANSWER_MS) {
+                forget(sub);
+                weave.remove(sub.topic, sub.berth.client);
+                sub.berth.refuse("SUB", sub.topic, "", "RETRY");
+            }
+        }
+        for (final Berth berth : berths()) {
+            if (nowMs - berth.heardMs > silentMs) {
+                berth.line.close();
+            }
+        }
+        awayMs.entrySet().removeIf(one -> {
+            final boolean over = nowMs - one.getValue() > AWAY_MS;
+            if (over) {
+                weave.topicsHere(one.getKey()).forEach(topic -> weave.remove(topic, one.getKey()));
+                weave.absent(one.getKey(), false);
+            }
+            return over;
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/yewjunction/dock/Drain.java
@@ -0,0 +1,79 @@
+package yewjunction.dock;
+
+import java.util.ArrayList;
+import java.util.List;
+import yewjunction.base.Event;
+import yewjunction.base.Pulse;
+import yewjunction.roster.Roster;
+import yewjunction.roster.Sibling;
+
+import static yewjunction.base.Limits.DRAIN_MS;
+import static yewjunction.base.Limits.MOVE_SPAN_MS;
+import static yewjunction.base.Limits.MOVE_STEP_MS;
+
+/** Moves an edge's clients to the other edges, paced and spread evenly, before it stops. */
+public final class Drain {
+    private final Pulse pulse;
+    private final Dock dock;
+    private final Roster roster;
+    private final Runnable done;
+    private final long startMs;
+    private int turn;
+
+    public Drain(final Pulse pulse, final Dock dock, final Roster roster, final Runnable done) {
+        this.pulse = pulse;
+        this.dock = dock;
+        this.roster = roster;
+        this.done = done;
+        startMs = pulse.nowMs();
+        turn = pulse.luck().nextInt(1_000);
+    }
+
+    public void start() {
+        Event.DRAIN_STARTED.info(dock.berths().size() + " links");
+        dock.drain(this);
+        step();
+    }
+
+    private void step() {
+        final long sinceMs = pulse.nowMs() - startMs;
+        final List<Berth> staying = new ArrayList<>();
+        for (final Berth berth : dock.berths()) {
+            if (!berth.moved) {
+                staying.add(berth);
+            }
+        }
+        // So many a step that all are gone when the span is over; those with nothing under way first.
+        staying.sort((one, other) -> Integer.compare(one.underWay, other.underWay));
+        final long stepsLeft = Math.max(1, (MOVE_SPAN_MS - sinceMs) / MOVE_STEP_MS);
+        final long chosen = (staying.size() + stepsLeft - 1) / stepsLeft;
+        staying.stream().limit(chosen).forEach(this::move);
+        // New links keep coming until the platform has seen that this node is not ready: it listens to the end.
+        if (sinceMs >= DRAIN_MS || dock.berths().isEmpty() && sinceMs >= DRAIN_MS - MOVE_SPAN_MS / 2) {
+            Event.DRAIN_DONE.info(dock.berths().size() + " links left");
+            done.run();
+            return;
+        }
+        pulse.after(MOVE_STEP_MS, this::step);
+    }
+
+    void move(final Berth berth) {
+        final Sibling target = target();
+        if (target != null) {
+            berth.moved = true;
+            berth.plain("MOVE " + target.front);
+        }
+    }
+
+    private Sibling target() {
+        final List<Sibling> near = new ArrayList<>();
+        final List<Sibling> far = new ArrayList<>();
+        for (final Sibling sibling : roster.up("tide")) {
+            if (sibling.ready && !sibling.front.isEmpty()) {
+                (sibling.zone.equals(roster.self().zone) ? near : far).add(sibling);
+            }
+        }
+        final List<Sibling> chosen = near.isEmpty() ? far : near;
+        return chosen.isEmpty() ? null : chosen.get(Math.floorMod(turn++, chosen.size()));
+    }
+}
--- /dev/null
+++ b/src/main/java/yewjunction/dock/Errands.java
@@ -0,0 +1,144 @@
+package yewjunction.dock;
+
+import yewjunction.charter.Charter;
+import yewjunction.charter.Tenure;
+import yewjunction.dock.Berth.Sub;
+import yewjunction.weave.Weave;
+
+/** What each word of a client asks for, checked against the configuration in force. */
+final class Errands {
+    /** bytes; a cursor of this system is a number and never longer. */
+    private static final int POSITION_CHARS = 18;
+    private final Dock dock;
+    private final Tenure tenure;
+    private final Weave weave;
+
+    Errands(final Dock dock, final Tenure tenure, final Weave weave) {
+        this.dock = dock;
+        this.tenure = tenure;
+        this.weave = weave;
+    }
+
+    void take(final Berth berth, final Words words) {
+        if (words.is("PUB")) {
+            publish(berth, words);
+        } else if (words.is("PING")) {
+            berth.plain("PONG");
+        } else if (words.is("SUB")) {
+            subscribe(berth, words.text(1), words.text(2));
+        } else if (words.is("HELLO")) {
+            hello(berth, words.text(1), words.text(2));
+        } else if (words.is("UNSUB")) {
+            unsubscribe(berth, words.text(1));
+        } else if (words.is("WHO")) {
+            who(berth, words.text(1));
+        } else {
+            berth.refuse(words.text(0).isEmpty() ? "-" : words.text(0), "", "", "BADMSG");
+        }
+    }
+
+    private void hello(final Berth berth, final String client, final String secret) {
+        final Charter charter = tenure.charter();
+        if (client.isEmpty() || berth.greeted()) {
+            berth.refuse("HELLO", "", "", "BADMSG");
+        } else if (!tenure.held() || weave.self() == 0) {
+            berth.refuse("HELLO", "", "", "RETRY");
+        } else if (!secret.isEmpty() && charter.tenantOfKey(secret) == null) {
+            berth.refuse("HELLO", "", "", "DENIED");
+        } else {
+            berth.client = client;
+            berth.secret = secret;
+            dock.greeted(berth);
+            berth.ok("HELLO", "", "");
+            dock.moveIfDraining(berth);
+        }
+    }
+
+    /** Why this client may not use the topic right now, or null when it may. */
+    String denial(final Berth berth, final String topic) {
+        if (!tenure.held() || weave.self() == 0) {
+            return "RETRY";
+        }
+        return charterDenial(tenure.charter(), berth.secret, topic);
+    }
+
+    static String charterDenial(final Charter charter, final String secret, final String topic) {
+        final Charter.Space space = charter.space(topic);
+        // The key comes first: a key that was taken away opens nothing, not even what is public.
+        if (!secret.isEmpty() && charter.tenantOfKey(secret) == null) {
+            return "DENIED";
+        }
+        if (space == null) {
+            return "NOSPACE";
+        }
+        return secret.isEmpty() && !space.open() ? "DENIED" : null;
+    }
+
+    private void subscribe(final Berth berth, final String topic, final String cursor) {
+        if (topic.isEmpty() || !berth.greeted()) {
+            berth.refuse("SUB", topic, "", "BADMSG");
+            return;
+        }
+        final String denial = denial(berth, topic);
+        final Sub known = berth.subs.get(topic);
+        if (denial != null) {
+            berth.refuse("SUB", topic, "", denial);
+        } else if (known != null) {
+            // Asked twice on one link: one subscription, answered as it stands.
+            if (known.open) {
+                berth.ok("SUB", topic, String.valueOf(known.after));
+            }
+        } else if (berth.subs.size() >= tenure.charter().subs()) {
+            berth.refuse("SUB", topic, "", "TOOBIG");
+        } else {
+            final long position = position(cursor);
+            if (position < -1) {
+                berth.refuse("SUB", topic, "", "EXPIRED");
+            } else {
+                dock.join(new Sub(berth, topic, position, dock.nowMs()));
+            }
+        }
+    }
+
+    /** The index a cursor names, -1 for none, -2 for one this system never gave. */
+    private static long position(final String cursor) {
+        if (cursor.isEmpty()) {
+            return -1;
+        }
+        if (cursor.length() > POSITION_CHARS || !cursor.chars().allMatch(one -> one >= '0' && one <= '9')) {
+            return -2;
+        }
+        return Long.parseLong(cursor);
+    }
+
+    private void unsubscribe(final Berth berth, final String topic) {
+        if (topic.isEmpty() || !berth.greeted()) {
+            berth.refuse("UNSUB", topic, "", "BADMSG");
+            return;
+        }
+        dock.drop(berth, topic);
+        berth.ok("UNSUB", topic, "");
+    }
+
+    private void who(final Berth berth, final String topic) {
+        final String denial = topic.isEmpty() || !berth.greeted() ? "BADMSG" : denial(berth, topic);
+        if (denial != null) {
+            berth.refuse("WHO", topic, "", denial);
+        } else {
+            berth.count(topic, dock.count(topic));
+        }
+    }
+
+    private void publish(final Berth berth, final Words words) {
+        final String topic = words.text(1);
+        final long number = words.number(2);
+        final String denial = topic.isEmpty() || !berth.greeted() ? "BADMSG" : denial(berth, topic);
+        if (denial != null) {
+            berth.refuse("PUB", topic, words.text(2), denial);
+        } else {
+            final Charter.Tenant tenant = tenure.charter().tenantOfKey(berth.secret);
+            dock.shipping().ship(berth, topic, number, tenant == null ? "" : tenant.name(),
+                tenure.charter().space(topic).timeoutMs(), words.bodyBytes());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/yewjunction/ledger/Entry.java
@@ -0,0 +1,23 @@
+package yewjunction.ledger;
+
+/** One entry of the log. */
+public final class Entry {
+    static final int NOTHING = 0;
+    static final int DATA = 1;
+    static final int VOTERS = 2;
+
+    public long index;
+    public long term;
+    public int kind;
+    public byte[] data = new byte[0];
+
+    public Entry() {
+    }
+
+    Entry(final long index, final long term, final int kind, final byte[] data) {
+        this.index = index;
+        this.term = term;
+        this.kind = kind;
+        this.data = data;
+    }
+}
--- /dev/null
+++ b/src/main/java/yewjunction/ledger/Following.java
@@ -0,0 +1,149 @@
+package yewjunction.ledger;
+
+import java.util.ArrayList;
+import java.util.List;
+import yewjunction.base.Link;
+import yewjunction.ledger.Letters.Append;
+import yewjunction.ledger.Letters.AppendAnswer;
+import yewjunction.ledger.Letters.Ask;
+import yewjunction.ledger.Letters.AskAnswer;
+import yewjunction.ledger.Letters.Image;
+import yewjunction.ledger.Letters.Join;
+
+/** What a member does for a candidate or a leader. */
+final class Following {
+    private final Ledger ledger;
+    private final List<Waiting> waiting = new ArrayList<>();
+
+    /** An answer owed once the disk holds the entries it speaks of. */
+    private record Waiting(Link link, Append append, long match) {
+    }
+
+    Following(final Ledger ledger) {
+        this.ledger = ledger;
+    }
+
+    void join(final String siblingAddress, final boolean wantsVote) {
+        final Join join = ledger.addressed(new Join(), null);
+        join.wantsVote = wantsVote;
+        ledger.post.dial(siblingAddress).send(join);
+    }
+
+    void ask(final Link link, final Ask ask) {
+        final Archive archive = ledger.archive;
+        final boolean logServes = ask.lastTerm > ledger.log.lastTerm()
+            || ask.lastTerm == ledger.log.lastTerm() && ask.lastIndex >= ledger.log.lastIndex();
+        // Whoever hears a leader keeps to it: a sibling with a bad link must not unseat a good leader.
+        if (ledger.heardLately() && !ask.handedOver) {
+            answer(link, ask, false, archive.term);
+            return;
+        }
+        if (ask.pre) {
+            final boolean granted = ask.term > archive.term && logServes;
+            answer(link, ask, granted, granted ? ask.term : archive.term);
+            return;
+        }
+        ledger.seen(ask.term);
+        final boolean granted = ask.term == archive.term && logServes
+            && (archive.votedFor.isEmpty() || archive.votedFor.equals(ask.from));
+        if (!granted) {
+            answer(link, ask, false, archive.term);
+            return;
+        }
+        ledger.restartClock();
+        archive.saveVote(ask.term, ask.from, () -> answer(link, ask, true, ask.term));
+    }
+
+    private void answer(final Link link, final Ask ask, final boolean granted, final long term) {
+        final AskAnswer answer = Ledger.withTerm(ledger.addressed(new AskAnswer(), ask.from), term);
+        answer.pre = ask.pre;
+        answer.granted = granted;
+        link.send(answer);
+    }
+
+    /** True when the letter comes from the leader of the current term. */
+    private boolean accepted(final Letters.Letter letter) {
+        ledger.seen(letter.term);
+        if (letter.term < ledger.archive.term) {
+            return false;
+        }
+        // Invariant: one leader a term.
+        if (ledger.leadsTerm()) {
+            throw new IllegalStateException("two leaders in term " + letter.term);
+        }
+        ledger.follow(letter.from);
+        return true;
+    }
+
+    void append(final Link link, final Append append) {
+        final Log log = ledger.log;
+        if (!accepted(append)) {
+            answer(link, append, false, 0);
+            return;
+        }
+        final boolean behindBase = append.prevIndex < log.baseIndex();
+        if (!behindBase && log.termAt(append.prevIndex) != append.prevTerm) {
+            answer(link, append, false, Math.min(log.lastIndex(), append.prevIndex - 1));
+            return;
+        }
+        final List<Entry> fresh = new ArrayList<>();
+        for (final Entry entry : append.entries) {
+            // What the snapshot covers was committed and is the same everywhere.
+            if (entry.index <= log.baseIndex()) {
+                continue;
+            }
+            if (fresh.isEmpty() && log.termAt(entry.index) == entry.term) {
+                continue;
+            }
+            if (fresh.isEmpty() && entry.index <= log.lastIndex()) {
+                ledger.cutFrom(entry.index);
+            }
+            fresh.add(entry);
+        }
+        ledger.write(fresh);
+        final long match = Math.max(append.prevIndex + append.entries.size(), log.baseIndex());
+        ledger.commitTo(Math.min(append.commit, match));
+        if (match <= ledger.syncedIndex || append.entries.isEmpty()) {
+            answer(link, append, true, Math.min(match, ledger.syncedIndex));
+        } else {
+            waiting.add(new Waiting(link, append, match));
+        }
+    }
+
+    void synced() {
+        if (waiting.isEmpty()) {
+            return;
+        }
+        final List<Waiting> owed = new ArrayList<>(waiting);
+        waiting.clear();
+        for (final Waiting one : owed) {
+            if (one.append.term != ledger.archive.term) {
+                continue;
+            }
+            if (one.match <= ledger.syncedIndex) {
+                answer(one.link, one.append, true, one.match);
+            } else {
+                waiting.add(one);
+            }
+        }
+    }
+
+    private void answer(final Link link, final Append append, final boolean accepted, final long match) {
+        final AppendAnswer answer = ledger.addressed(new AppendAnswer(), append.from);
+        answer.accepted = accepted;
+        answer.match = match;
+        answer.round = append.round;
+        link.send(answer);
+    }
+
+    void image(final Link link, final Image image) {
+        if (!accepted(image) || image.lastIndex <= ledger.commit()) {
+            return;
+        }
+        waiting.clear();
+        final Append asked = new Append();
+        asked.from = image.from;
+        ledger.installed(image.lastIndex, image.lastTerm, image.voters, image.state,
+            () -> answer(link, asked, true, image.lastIndex));
+    }
+}
--- /dev/null
+++ b/src/main/java/yewjunction/ledger/Leading.java
@@ -0,0 +1,339 @@
+package yewjunction.ledger;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import yewjunction.base.Event;
+import yewjunction.ledger.Letters.Append;
+import yewjunction.ledger.Letters.AppendAnswer;
+import yewjunction.ledger.Letters.HandOver;
+import yewjunction.ledger.Letters.Image;
+
+import static yewjunction.base.Limits.APPEND_AGAIN_MS;
+import static yewjunction.base.Limits.APPEND_BYTES;
+import static yewjunction.base.Limits.APPEND_ENTRIES;
+import static yewjunction.base.Limits.BEAT_MS;
+import static yewjunction.base.Limits.CAUGHT_UP_ENTRIES;
+import static yewjunction.base.Limits.ELECT_MOST_MS;
+import static yewjunction.base.Limits.HAND_OVER_MS;
+
+/** What a leader does: replicates, commits, confirms its leadership, changes voters, hands over. */
+final class Leading {
+    private final Ledger ledger;
+    private final Map<String, Standing> standings = new HashMap<>();
+    private final List<Check> checks = new ArrayList<>();
+    private long firstIndex;
+    private long round;
+    private long era;
+    private boolean handing;
+    private boolean handed;
+    private boolean sending;
+    private boolean announced;
+
+    /** How far a sibling is. */
+    private static final class Standing {
+        long next;
+        long match;
+        long round;
+        long heardMs;
+        long sentMs;
+        boolean wantsVote;
+    }
+
+    private record Check(long round, Consumer<Boolean> done) {
+    }
+
+    Leading(final Ledger ledger) {
+        this.ledger = ledger;
+    }
+
+    void begin() {
+        era++;
+        standings.clear();
+        handing = false;
+        handed = false;
+        announced = false;
+        for (final String voter : ledger.voters()) {
+            standing(voter);
+        }
+        firstIndex = ledger.log.lastIndex() + 1;
+        append(Entry.NOTHING, new byte[0]);
+        beat(era);
+    }
+
+    void end() {
+        era++;
+        handing = false;
+        final List<Check> owed = new ArrayList<>(checks);
+        checks.clear();
+        owed.forEach(check -> check.done.accept(false));
+    }
+
+    long firstIndex() {
+        return firstIndex;
+    }
+
+    boolean handing() {
+        return handing;
+    }
+
+    private Standing standing(final String identity) {
+        return standings.computeIfAbsent(identity, key -> {
+            final Standing fresh = new Standing();
+            fresh.next = ledger.log.lastIndex() + 1;
+            fresh.heardMs = ledger.pulse.nowMs();
+            return fresh;
+        });
+    }
+
+    private boolean self(final String identity) {
+        return identity.equals(ledger.identity());
+    }
+
+    private void beat(final long ofEra) {
+        if (ofEra != era || !ledger.leadsTerm()) {
+            return;
+        }
+        final long nowMs = ledger.pulse.nowMs();
+        // A leader that a majority no longer answers steps down, so that others are not led astray.
+        final List<String> voters = ledger.voters();
+        final long heard = voters.stream().filter(voter -> self(voter)
+            || nowMs - standing(voter).heardMs < 2 * ELECT_MOST_MS).count();
+        if (heard * 2 <= voters.size()) {
+            ledger.follow(null);
+            ledger.restartClock();
+            return;
+        }
+        round++;
+        sendAll();
+        settleVoters();
+        ledger.pulse.after(BEAT_MS, () -> beat(ofEra));
+    }
+
+    long append(final int kind, final byte[] data) {
+        final Entry entry = new Entry(ledger.log.lastIndex() + 1, ledger.archive.term, kind, data);
+        ledger.write(List.of(entry));
+        sendSoon();
+        return entry.index;
+    }
+
+    /** What one turn of the owner appends goes out in one letter. */
+    private void sendSoon() {
+        if (!sending) {
+            sending = true;
+            ledger.pulse.post(() -> {
+                sending = false;
+                sendAll();
+            });
+        }
+    }
+
+    private void sendAll() {
+        if (ledger.leadsTerm()) {
+            for (final Map.Entry<String, Standing> one : List.copyOf(standings.entrySet())) {
+                if (!self(one.getKey())) {
+                    send(one.getKey(), one.getValue());
+                }
+            }
+        }
+    }
+
+    private void send(final String identity, final Standing standing) {
+        final long nowMs = ledger.pulse.nowMs();
+        final Log log = ledger.log;
+        final boolean silent = nowMs - standing.heardMs > APPEND_AGAIN_MS;
+        if (silent || standing.match < standing.next - 1 && nowMs - standing.sentMs > APPEND_AGAIN_MS) {
+            standing.next = standing.match + 1;
+        }
+        // A newcomer with nothing also needs to learn who votes, which only a snapshot tells.
+        if (standing.next <= log.baseIndex() || standing.next == 1 && !ledger.voters().contains(identity)) {
+            sendImage(identity, standing, nowMs);
+            return;
+        }
+        final Append append = new Append();
+        append.prevIndex = standing.next - 1;
+        append.prevTerm = log.termAt(append.prevIndex);
+        append.commit = ledger.commit();
+        append.round = round;
+        // A silent sibling gets beats only: what it misses would pile up on its link.
+        if (!silent) {
+            append.entries = log.slice(standing.next, APPEND_ENTRIES, APPEND_BYTES);
+        }
+        if (!append.entries.isEmpty()) {
+            standing.next += append.entries.size();
+            standing.sentMs = nowMs;
+        }
+        ledger.sendTo(identity, append);
+    }
+
+    private void sendImage(final String identity, final Standing standing, final long nowMs) {
+        if (nowMs - standing.sentMs < 2 * APPEND_AGAIN_MS) {
+            return;
+        }
+        standing.sentMs = nowMs;
+        final Image image = new Image();
+        image.lastIndex = ledger.applied();
+        image.lastTerm = ledger.log.termAt(image.lastIndex);
+        image.voters = ledger.log.votersAt(image.lastIndex);
+        image.state = ledger.image();
+        ledger.sendTo(identity, image);
+    }
+
+    void answered(final AppendAnswer answer) {
+        ledger.seen(answer.term);
+        final Standing standing = standings.get(answer.from);
+        if (!ledger.leadsTerm() || answer.term != ledger.archive.term || standing == null) {
+            return;
+        }
+        final boolean wasSilent = ledger.pulse.nowMs() - standing.heardMs > APPEND_AGAIN_MS;
+        standing.heardMs = ledger.pulse.nowMs();
+        standing.round = Math.max(standing.round, answer.round);
+        if (answer.accepted) {
+            standing.match = Math.max(standing.match, answer.match);
+            standing.next = Math.max(standing.next, standing.match + 1);
+        } else {
+            standing.next = Math.max(standing.match, Math.min(standing.next - 2, answer.match)) + 1;
+        }
+        if (standing.next <= ledger.log.lastIndex() && (!answer.accepted || wasSilent || standing.match == standing.next - 1)) {
+            send(answer.from, standing);
+        }
+        advance();
+        checkRounds();
+        handOn(answer.from, standing);
+    }
+
+    void synced() {
+        if (ledger.leadsTerm()) {
+            advance();
+        }
+    }
+
+    private void advance() {
+        final List<String> voters = ledger.voters();
+        final long[] matches = new long[voters.size()];
+        for (int i = 0; i < matches.length; i++) {
+            matches[i] = self(voters.get(i)) ? ledger.syncedIndex : standing(voters.get(i)).match;
+        }
+        java.util.Arrays.sort(matches);
+        final long majority = matches[(matches.length - 1) / 2];
+        // Only entries of the own term are counted; older ones are committed along with them.
+        if (majority > ledger.commit() && ledger.log.termAt(majority) == ledger.archive.term) {
+            ledger.commitTo(majority);
+            sendSoon();
+        }
+    }
+
+    void advanced() {
+        if (!announced && ledger.applied() >= firstIndex) {
+            announced = true;
+            ledger.announceLeading();
+        }
+        // A leader that voted itself out goes once that is committed.
+        if (ledger.log.lastVotersIndex() <= ledger.commit() && !ledger.voters().contains(ledger.identity())) {
+            ledger.follow(null);
+        }
+    }
+
+    void confirm(final Consumer<Boolean> done) {
+        round++;
+        checks.add(new Check(round, done));
+        if (ledger.voters().size() == 1) {
+            checkRounds();
+        } else {
+            sendSoon();
+        }
+    }
+
+    private void checkRounds() {
+        if (checks.isEmpty()) {
+            return;
+        }
+        final List<String> voters = ledger.voters();
+        final long[] rounds = new long[voters.size()];
+        for (int i = 0; i < rounds.length; i++) {
+            rounds[i] = self(voters.get(i)) ? round : standing(voters.get(i)).round;
+        }
+        java.util.Arrays.sort(rounds);
+        final long majority = rounds[(rounds.length - 1) / 2];
+        final List<Check> done = checks.stream().filter(check -> check.round <= majority).toList();
+        checks.removeAll(done);
+        done.forEach(check -> check.done.accept(true));
+    }
+
+    // --- voters ---
+
+    void learn(final String identity, final boolean wantsVote) {
+        if (ledger.leadsTerm()) {
+            standing(identity).wantsVote = wantsVote;
+        }
+    }
+
+    boolean nearEnd(final String identity) {
+        final Standing standing = standings.get(identity);
+        return standing != null && standing.match + CAUGHT_UP_ENTRIES >= ledger.log.lastIndex();
+    }
+
+    void changeVoters(final List<String> newVoters) {
+        // One change at a time, and only by a leader that has committed in its own term.
+        if (ledger.leads() && ledger.log.lastVotersIndex() <= ledger.commit() && !newVoters.equals(ledger.voters())) {
+            newVoters.forEach(this::standing);
+            append(Entry.VOTERS, Archive.votersData(newVoters));
+        }
+    }
+
+    /** A newcomer at a voter's address means that the voter's disk is gone: first the old goes, then the new comes. */
+    private void settleVoters() {
+        if (!ledger.leads() || ledger.log.lastVotersIndex() > ledger.commit()) {
+            return;
+        }
+        final List<String> voters = ledger.voters();
+        for (final Map.Entry<String, Standing> one : standings.entrySet()) {
+            // Only one that answers right now: an identity whose disk is gone again stays out.
+            if (!one.getValue().wantsVote || voters.contains(one.getKey()) || !nearEnd(one.getKey())
+                || ledger.pulse.nowMs() - one.getValue().heardMs > APPEND_AGAIN_MS) {
+                continue;
+            }
+            final String address = Ledger.address(one.getKey());
+            final List<String> newVoters = new ArrayList<>(voters);
+            if (!newVoters.removeIf(voter -> Ledger.address(voter).equals(address))) {
+                newVoters.add(one.getKey());
+            }
+            changeVoters(newVoters);
+            return;
+        }
+        standings.keySet().removeIf(identity -> !voters.contains(identity)
+            && ledger.pulse.nowMs() - standings.get(identity).heardMs > 20 * ELECT_MOST_MS);
+    }
+
+    // --- handing over ---
+
+    void handOver(final Runnable done) {
+        if (!ledger.leadsTerm() || ledger.voters().size() == 1) {
+            done.run();
+            return;
+        }
+        handing = true;
+        Event.LEADER_HANDED.info("group " + ledger.group);
+        standings.forEach((identity, standing) -> handOn(identity, standing));
+        final long startMs = ledger.pulse.nowMs();
+        waitHanded(startMs, done);
+    }
+
+    private void waitHanded(final long startMs, final Runnable done) {
+        if (!ledger.leadsTerm() || ledger.pulse.nowMs() - startMs > HAND_OVER_MS) {
+            done.run();
+        } else {
+            ledger.pulse.after(20, () -> waitHanded(startMs, done));
+        }
+    }
+
+    private void handOn(final String identity, final Standing standing) {
+        if (handing && !handed && !self(identity) && standing.match == ledger.log.lastIndex()
+            && ledger.voters().contains(identity) && ledger.pulse.nowMs() - standing.heardMs < 3 * BEAT_MS) {
+            handed = true;
+            ledger.sendTo(identity, new HandOver());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/yewjunction/ledger/Letters.java
@@ -0,0 +1,68 @@
+package yewjunction.ledger;
+
+import java.util.ArrayList;
+import java.util.List;
+import yewjunction.base.Codec;
+
+/** What ledgers of one group say to one another. */
+public final class Letters {
+    private Letters() {
+    }
+
+    public static void know(final Codec codec) {
+        codec.know(10, Ask.class).know(11, AskAnswer.class).know(12, Append.class).know(13, AppendAnswer.class)
+            .know(14, Image.class).know(15, HandOver.class).know(16, Join.class);
+    }
+
+    /** Common to all: the group, who speaks, to whom (full identities), in which term. */
+    abstract static class Letter {
+        int group;
+        String from;
+        String to;
+        long term;
+    }
+
+    /** For a vote, or, when pre is set, whether a vote would be given. */
+    static final class Ask extends Letter {
+        boolean pre;
+        boolean handedOver;
+        long lastIndex;
+        long lastTerm;
+    }
+
+    static final class AskAnswer extends Letter {
+        boolean pre;
+        boolean granted;
+    }
+
+    static final class Append extends Letter {
+        long prevIndex;
+        long prevTerm;
+        long commit;
+        long round;
+        List<Entry> entries = new ArrayList<>();
+    }
+
+    static final class AppendAnswer extends Letter {
+        boolean accepted;
+        long match;
+        long round;
+    }
+
+    /** A whole snapshot, for a sibling too far behind. */
+    static final class Image extends Letter {
+        long lastIndex;
+        long lastTerm;
+        List<String> voters = new ArrayList<>();
+        byte[] state = new byte[0];
+    }
+
+    /** The leader stops: stand for election now. */
+    static final class HandOver extends Letter {
+    }
+
+    /** A newcomer asks whoever leads to bring it up to date and make it a voter when a place is free. */
+    static final class Join extends Letter {
+        boolean wantsVote;
+    }
+}
--- /dev/null
+++ b/src/main/java/yewjunction/ledger/LocalDisk.java
@@ -0,0 +1,106 @@
+package yewjunction.ledger;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.Map;
+import yewjunction.base.Defect;
+
+import static java.nio.file.StandardCopyOption.ATOMIC_MOVE;
+import static java.nio.file.StandardOpenOption.CREATE;
+import static java.nio.file.StandardOpenOption.READ;
+import static java.nio.file.StandardOpenOption.TRUNCATE_EXISTING;
+import static java.nio.file.StandardOpenOption.WRITE;
+import static yewjunction.base.Defect.Code.LEDGER_DISK;
+
+/** The real disk: files in one folder. Used by one thread at a time. */
+public final class LocalDisk implements Disk {
+    private final Path folder;
+    private final Map<String, FileChannel> open = new HashMap<>();
+
+    public LocalDisk(final Path folder) {
+        this.folder = folder;
+        try {
+            Files.createDirectories(folder);
+        } catch (final IOException defect) {
+            throw new Defect(LEDGER_DISK, "cannot make " + folder, defect);
+        }
+    }
+
+    private interface Step<T> {
+        T run() throws IOException;
+    }
+
+    private static <T> T guard(final String what, final Step<T> step) {
+        try {
+            return step.run();
+        } catch (final IOException defect) {
+            throw new Defect(LEDGER_DISK, what + ": " + defect.getMessage(), defect);
+        }
+    }
+
+    private FileChannel channel(final String name) throws IOException {
+        FileChannel channel = open.get(name);
+        if (channel == null) {
+            channel = FileChannel.open(folder.resolve(name), CREATE, READ, WRITE);
+            channel.position(channel.size());
+            open.put(name, channel);
+        }
+        return channel;
+    }
+
+    @Override
+    public byte[] read(final String name) {
+        return guard("read " + name, () -> Files.exists(folder.resolve(name)) ? Files.readAllBytes(folder.resolve(name)) : null);
+    }
+
+    @Override
+    public void append(final String name, final byte[] bytes) {
+        guard("append " + name, () -> {
+            final ByteBuffer buffer = ByteBuffer.wrap(bytes);
+            while (buffer.hasRemaining()) {
+                channel(name).write(buffer);
+            }
+            return null;
+        });
+    }
+
+    @Override
+    public void cut(final String name, final long length) {
+        guard("cut " + name, () -> channel(name).truncate(length).position(length));
+    }
+
+    @Override
+    public void sync(final String name) {
+        guard("sync " + name, () -> {
+            channel(name).force(false);
+            return null;
+        });
+    }
+
+    @Override
+    public void replace(final String name, final byte[] bytes) {
+        guard("replace " + name, () -> {
+            final Path fresh = folder.resolve(name + ".new");
+            final FileChannel channel = FileChannel.open(fresh, CREATE, TRUNCATE_EXISTING, READ, WRITE);
+            final ByteBuffer buffer = ByteBuffer.wrap(bytes);
+            while (buffer.hasRemaining()) {
+                channel.write(buffer);
+            }
+            channel.force(true);
+            Files.move(fresh, folder.resolve(name), ATOMIC_MOVE);
+            try (FileChannel folderChannel = FileChannel.open(folder, READ)) {
+                folderChannel.force(true);
+            }
+            // The moved file stays open under its new name.
+            final FileChannel old = open.put(name, channel);
+            if (old != null) {
+                old.close();
+            }
+            return null;
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/yewjunction/ledger/Log.java
@@ -0,0 +1,99 @@
+package yewjunction.ledger;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** The entries in memory, behind the last snapshot. */
+final class Log {
+    private final ArrayList<Entry> entries = new ArrayList<>();
+    private long baseIndex;
+    private long baseTerm;
+    private List<String> baseVoters = List.of();
+
+    void reset(final long index, final long term, final List<String> voters) {
+        entries.clear();
+        baseIndex = index;
+        baseTerm = term;
+        baseVoters = List.copyOf(voters);
+    }
+
+    long baseIndex() {
+        return baseIndex;
+    }
+
+    long lastIndex() {
+        return baseIndex + entries.size();
+    }
+
+    long lastTerm() {
+        return entries.isEmpty() ? baseTerm : entries.get(entries.size() - 1).term;
+    }
+
+    /** The term at an index, or -1 where the log does not reach. */
+    long termAt(final long index) {
+        if (index == baseIndex) {
+            return baseTerm;
+        }
+        return index < baseIndex || index > lastIndex() ? -1 : get(index).term;
+    }
+
+    Entry get(final long index) {
+        return entries.get((int) (index - baseIndex - 1));
+    }
+
+    void append(final Entry entry) {
+        // Invariant: indices follow without gap and terms never fall.
+        if (entry.index != lastIndex() + 1 || entry.term < lastTerm()) {
+            throw new IllegalStateException("entry " + entry.index + "/" + entry.term + " after " + lastIndex() + "/" + lastTerm());
+        }
+        entries.add(entry);
+    }
+
+    void cutFrom(final long index) {
+        while (lastIndex() >= index && !entries.isEmpty()) {
+            entries.remove(entries.size() - 1);
+        }
+    }
+
+    void dropTo(final long index) {
+        final long newTerm = termAt(index);
+        if (newTerm < 0 || index <= baseIndex) {
+            return;
+        }
+        baseVoters = votersAt(index);
+        entries.subList(0, (int) (index - baseIndex)).clear();
+        baseIndex = index;
+        baseTerm = newTerm;
+        entries.trimToSize();
+    }
+
+    /** The voters in force when the log ends at that index. */
+    List<String> votersAt(final long index) {
+        for (long at = Math.min(index, lastIndex()); at > baseIndex; at--) {
+            if (get(at).kind == Entry.VOTERS) {
+                return Archive.votersOf(get(at).data);
+            }
+        }
+        return baseVoters;
+    }
+
+    long lastVotersIndex() {
+        for (long at = lastIndex(); at > baseIndex; at--) {
+            if (get(at).kind == Entry.VOTERS) {
+                return at;
+            }
+        }
+        return baseIndex;
+    }
+
+    List<Entry> slice(final long from, final int mostEntries, final int mostBytes) {
+        final List<Entry> chosen = new ArrayList<>();
+        int bytes = 0;
+        for (long at = from; at <= lastIndex() && chosen.size() < mostEntries && bytes < mostBytes; at++) {
+            final Entry entry = get(at);
+            chosen.add(entry);
+            bytes += entry.data.length + 32;
+        }
+        return chosen;
+    }
+}
--- /dev/null
+++ b/src/main/java/yewjunction/ledger/Machine.java
@@ -0,0 +1,18 @@
+package yewjunction.ledger;
+
+/** What the log's committed entries drive. */
+public interface Machine {
+    void apply(long index, byte[] data);
+
+    byte[] snapshot();
+
+    void restore(long index, byte[] state);
+
+    /** The leader changed; null while none is known. Self only once all earlier entries are applied. */
+    default void leader(final String identity, final boolean self) {
+    }
+
+    /** All entries up to this index are applied. */
+    default void settled(final long commit) {
+    }
+}
--- /dev/null
+++ b/src/main/java/yewjunction/loom/Datagrams.java
@@ -0,0 +1,68 @@
+package yewjunction.loom;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.DatagramChannel;
+import java.nio.channels.SelectionKey;
+import java.util.function.BiConsumer;
+import yewjunction.base.Codec;
+import yewjunction.base.Defect;
+
+/** Small letters that may be lost. */
+public final class Datagrams {
+    /** bytes; above any datagram the roster sends. */
+    private static final int DATAGRAM_BYTES = 8 << 10;
+    private final DatagramChannel channel;
+    private final Codec codec;
+    private final ByteBuffer input = ByteBuffer.allocate(DATAGRAM_BYTES);
+    private BiConsumer<String, Object> handler = (from, letter) -> { };
+
+    public Datagrams(final Loom loom, final Codec codec, final InetSocketAddress own) {
+        this.codec = codec;
+        try {
+            channel = DatagramChannel.open();
+            channel.bind(own);
+            channel.configureBlocking(false);
+            channel.register(loom.selector(), SelectionKey.OP_READ, (Loom.Taker) key -> read());
+        } catch (final IOException defect) {
+            throw new UncheckedIOException("cannot listen for probes on " + own, defect);
+        }
+    }
+
+    public void onLetter(final BiConsumer<String, Object> newHandler) {
+        handler = newHandler;
+    }
+
+    public void send(final String address, final Object letter) {
+        try {
+            channel.send(ByteBuffer.wrap(codec.encode(letter)), Addresses.parse(address));
+        } catch (final IOException ignored) {
+            // A datagram may be lost anyway: the protocol above sends again.
+        }
+    }
+
+    private void read() throws IOException {
+        InetSocketAddress from;
+        while (true) {
+            input.clear();
+            try {
+                from = (InetSocketAddress) channel.receive(input);
+            } catch (final java.net.PortUnreachableException ignored) {
+                return;
+            }
+            if (from == null) {
+                return;
+            }
+            final Object letter;
+            try {
+                letter = codec.decode(input.array(), 0, input.position());
+            } catch (final Defect ignored) {
+                // Anyone may send a datagram: what cannot be read is dropped.
+                continue;
+            }
+            handler.accept(Addresses.text(from), letter);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/yewjunction/loom/Loom.java
@@ -0,0 +1,141 @@
+package yewjunction.loom;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.agrona.concurrent.Agent;
+import org.agrona.concurrent.ManyToOneConcurrentLinkedQueue;
+import yewjunction.base.Event;
+import yewjunction.base.Pulse;
+
+/** The one agent of a process: blocks in its selector, then runs what is due. Owner of all tables. */
+public final class Loom implements Agent, Pulse {
+    private final Selector selector;
+    private final ManyToOneConcurrentLinkedQueue<Runnable> commands = new ManyToOneConcurrentLinkedQueue<>();
+    private final PriorityQueue<Alarm> alarms = new PriorityQueue<>();
+    private final ArrayDeque<Runnable> flushes = new ArrayDeque<>();
+    private final AtomicBoolean woken = new AtomicBoolean();
+    private final Random luck;
+    private long alarmCount;
+    private volatile Thread ownerThread;
+
+    private record Alarm(long atMs, long order, Runnable task) implements Comparable<Alarm> {
+        @Override
+        public int compareTo(final Alarm other) {
+            final int byTime = Long.compare(atMs, other.atMs);
+            return byTime != 0 ? byTime : Long.compare(order, other.order);
+        }
+    }
+
+    /** Takes a ready key. */
+    interface Taker {
+        void ready(SelectionKey key) throws IOException;
+    }
+
+    public Loom(final long seed) {
+        luck = new Random(seed);
+        try {
+            selector = Selector.open();
+        } catch (final IOException defect) {
+            throw new UncheckedIOException(defect);
+        }
+    }
+
+    Selector selector() {
+        return selector;
+    }
+
+    /** Runs once at the end of this turn: links gather what a turn wrote into one write. */
+    void flushLater(final Runnable flush) {
+        flushes.add(flush);
+    }
+
+    @Override
+    public long nowMs() {
+        return System.nanoTime() / 1_000_000;
+    }
+
+    @Override
+    public void after(final long delayMs, final Runnable task) {
+        alarms.add(new Alarm(nowMs() + delayMs, alarmCount++, task));
+    }
+
+    @Override
+    public void post(final Runnable command) {
+        commands.add(command);
+        // One wake-up is enough however many commands wait: each is charged.
+        // The owner itself is awake: it looks at the queue again before it waits.
+        if (Thread.currentThread() != ownerThread && woken.compareAndSet(false, true)) {
+            selector.wakeup();
+        }
+    }
+
+    @Override
+    public Random luck() {
+        return luck;
+    }
+
+    @Override
+    public int doWork() throws IOException {
+        ownerThread = Thread.currentThread();
+        final Alarm nextAlarm = alarms.peek();
+        final long waitMs = nextAlarm == null ? 1_000 : nextAlarm.atMs - nowMs();
+        if (waitMs <= 0 || !commands.isEmpty()) {
+            selector.selectNow();
+        } else {
+            selector.select(waitMs);
+        }
+        woken.set(false);
+        int work = 0;
+        if (!selector.selectedKeys().isEmpty()) {
+            final ArrayList<SelectionKey> readyKeys = new ArrayList<>(selector.selectedKeys());
+            selector.selectedKeys().clear();
+            for (final SelectionKey key : readyKeys) {
+                work++;
+                guard(() -> {
+                    if (key.isValid()) {
+                        ((Taker) key.attachment()).ready(key);
+                    }
+                });
+            }
+        }
+        Runnable command;
+        while ((command = commands.poll()) != null) {
+            work++;
+            guard(command::run);
+        }
+        final long nowMs = nowMs();
+        while (!alarms.isEmpty() && alarms.peek().atMs <= nowMs) {
+            work++;
+            guard(alarms.poll().task::run);
+        }
+        while (!flushes.isEmpty()) {
+            guard(flushes.poll()::run);
+        }
+        return work;
+    }
+
+    private interface Turn {
+        void run() throws IOException;
+    }
+
+    private static void guard(final Turn turn) {
+        try {
+            turn.run();
+        } catch (final IOException | RuntimeException defect) {
+            // One broken turn must not end the process: state is changed only after checks.
+            Event.TURN_DEFECT.warn(String.valueOf(defect.getMessage()), defect);
+        }
+    }
+
+    @Override
+    public String roleName() {
+        return "loom";
+    }
+}
--- /dev/null
+++ b/src/main/java/yewjunction/loom/Outbox.java
@@ -0,0 +1,66 @@
+package yewjunction.loom;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+import org.agrona.ExpandableArrayBuffer;
+
+import static java.nio.ByteOrder.BIG_ENDIAN;
+
+/** Bytes that wait to be written; grows as needed, shrinks when empty. */
+public final class Outbox {
+    private final int firstBytes;
+    private ExpandableArrayBuffer buffer;
+    private int start;
+    private int end;
+
+    public Outbox(final int firstBytes) {
+        this.firstBytes = firstBytes;
+    }
+
+    private ExpandableArrayBuffer buffer() {
+        if (buffer == null) {
+            buffer = new ExpandableArrayBuffer(firstBytes);
+        }
+        return buffer;
+    }
+
+    void putInt(final int value) {
+        buffer().putInt(end, value, BIG_ENDIAN);
+        end += 4;
+    }
+
+    public void put(final byte[] bytes, final int offset, final int length) {
+        buffer().putBytes(end, bytes, offset, length);
+        end += length;
+    }
+
+    public void putAscii(final String text) {
+        end += buffer().putStringWithoutLengthAscii(end, text);
+    }
+
+    public void putNumber(final long value) {
+        end += buffer().putLongAscii(end, value);
+    }
+
+    public int size() {
+        return end - start;
+    }
+
+    /** True when all is written. */
+    public boolean write(final SocketChannel channel) throws IOException {
+        if (size() > 0) {
+            start += channel.write(ByteBuffer.wrap(buffer.byteArray(), start, end - start));
+        }
+        if (start < end) {
+            return false;
+        }
+        start = 0;
+        end = 0;
+        // An idle link holds no buffer: there are many links, and memory is priced.
+        if (buffer != null && buffer.capacity() > 2 * firstBytes) {
+            buffer = null;
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/src/main/java/yewjunction/loom/package-info.java
@@ -0,0 +1,2 @@
+/** The agent that owns a process's tables, and its sockets. */
+package yewjunction.loom;
--- /dev/null
+++ b/src/main/java/yewjunction/roster/Roster.java
@@ -0,0 +1,315 @@
+package yewjunction.roster;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import yewjunction.base.Event;
+import yewjunction.base.Pulse;
+import yewjunction.roster.Letters.Crew;
+import yewjunction.roster.Letters.Detour;
+import yewjunction.roster.Letters.Echo;
+import yewjunction.roster.Letters.Hail;
+import yewjunction.roster.Letters.Letter;
+import yewjunction.roster.Letters.Probe;
+
+import static yewjunction.base.Limits.GONE_MS;
+import static yewjunction.base.Limits.JOIN_MS;
+import static yewjunction.base.Limits.NEWS_PER_PROBE;
+import static yewjunction.base.Limits.NEWS_TIMES;
+import static yewjunction.base.Limits.PROBE_ACROSS_EVERY;
+import static yewjunction.base.Limits.PROBE_ANSWER_MS;
+import static yewjunction.base.Limits.PROBE_HELPERS;
+import static yewjunction.base.Limits.PROBE_MS;
+import static yewjunction.base.Limits.REJOIN_MS;
+import static yewjunction.base.Limits.SUSPECT_MS;
+
+/** Membership by probing, second opinions and suspicion (SWIM). Its removals change no voters and no data. */
+public final class Roster {
+    private static final int CREW_MOST = 60;
+    private final Pulse pulse;
+    private final Sibling self;
+    private final BiConsumer<String, Object> sender;
+    private final Map<String, Sibling> siblings = new HashMap<>();
+    private final Map<String, Long> changedMs = new HashMap<>();
+    private final Map<String, Integer> newsLeft = new LinkedHashMap<>();
+    private final ArrayDeque<String> nearTurn = new ArrayDeque<>();
+    private final ArrayDeque<String> farTurn = new ArrayDeque<>();
+    private final Map<Long, Consumer<Sibling>> awaited = new HashMap<>();
+    private final List<Runnable> watchers = new ArrayList<>();
+    private List<String> seeds = List.of();
+    private long probeNumber;
+    private long hailedMs;
+    private boolean left;
+
+    public Roster(final Pulse pulse, final Sibling self, final BiConsumer<String, Object> sender) {
+        this.pulse = pulse;
+        this.self = self;
+        this.sender = sender;
+    }
+
+    /** Seeds are sibling addresses of crux processes; some may be stale. */
+    public void start(final List<String> firstSeeds) {
+        seeds = firstSeeds;
+        hail();
+        pulse.after(pulse.luck().nextInt((int) PROBE_MS), this::probeNext);
+    }
+
+    public void seeds(final List<String> newSeeds) {
+        seeds = newSeeds;
+    }
+
+    public void watch(final Runnable watcher) {
+        watchers.add(watcher);
+    }
+
+    public Sibling self() {
+        return self;
+    }
+
+    public Collection<Sibling> all() {
+        return Collections.unmodifiableCollection(siblings.values());
+    }
+
+    /** Siblings of a duty that are up, own zone first, without this process. */
+    public List<Sibling> up(final String duty) {
+        final List<Sibling> chosen = new ArrayList<>();
+        for (final Sibling sibling : siblings.values()) {
+            if (sibling.up() && sibling.duty.equals(duty)) {
+                chosen.add(sibling);
+            }
+        }
+        chosen.sort(java.util.Comparator.comparing((Sibling sibling) -> !sibling.zone.equals(self.zone))
+            .thenComparing(sibling -> sibling.address));
+        return chosen;
+    }
+
+    public Sibling at(final String address) {
+        return siblings.get(address);
+    }
+
+    public void ready(final boolean ready) {
+        if (self.ready != ready) {
+            self.ready = ready;
+            raise(self.number + 1);
+        }
+    }
+
+    /** Says goodbye, so that nobody suspects first. */
+    public void leave() {
+        left = true;
+        self.standing = Sibling.LEFT;
+        self.ready = false;
+        raise(self.number + 1);
+        for (final Sibling sibling : siblings.values()) {
+            if (sibling.up() && sibling.zone.equals(self.zone)) {
+                send(sibling.address, new Echo());
+            }
+        }
+    }
+
+    private void raise(final long number) {
+        self.number = number;
+        tell(self.address);
+    }
+
+    private void tell(final String address) {
+        newsLeft.remove(address);
+        newsLeft.put(address, NEWS_TIMES);
+    }
+
+    private void hail() {
+        hailedMs = pulse.nowMs();
+        final List<String> others = new ArrayList<>(seeds);
+        others.remove(self.address);
+        if (left || others.isEmpty()) {
+            return;
+        }
+        send(others.get(pulse.luck().nextInt(others.size())), new Hail());
+        if (siblings.isEmpty()) {
+            pulse.after(JOIN_MS, this::hail);
+        }
+    }
+
+    private void probeNext() {
+        if (left) {
+            return;
+        }
+        pulse.after(PROBE_MS, this::probeNext);
+        sweep();
+        if (pulse.nowMs() - hailedMs > REJOIN_MS) {
+            hail();
+        }
+        final String target = nextTarget();
+        if (target == null) {
+            return;
+        }
+        final long number = ++probeNumber;
+        final boolean[] answered = new boolean[1];
+        awaited.put(number, sibling -> answered[0] = true);
+        final Probe probe = new Probe();
+        probe.number = number;
+        send(target, probe);
+        pulse.after(PROBE_ANSWER_MS, () -> {
+            if (!answered[0]) {
+                askOthers(target, number);
+            }
+        });
+        pulse.after(PROBE_MS - 50, () -> {
+            awaited.remove(number);
+            if (!answered[0]) {
+                suspect(target);
+            }
+        });
+    }
+
+    private String nextTarget() {
+        final boolean across = probeNumber % PROBE_ACROSS_EVERY == PROBE_ACROSS_EVERY - 1;
+        String target = nextOf(across ? farTurn : nearTurn, across);
+        // A zone with nobody else in it looks across every time.
+        return target != null ? target : nextOf(across ? nearTurn : farTurn, !across);
+    }
+
+    private String nextOf(final ArrayDeque<String> turn, final boolean across) {
+        if (turn.isEmpty()) {
+            final List<String> addresses = new ArrayList<>();
+            for (final Sibling sibling : siblings.values()) {
+                if (sibling.up() && sibling.zone.equals(self.zone) != across) {
+                    addresses.add(sibling.address);
+                }
+            }
+            Collections.sort(addresses);
+            Collections.shuffle(addresses, pulse.luck());
+            turn.addAll(addresses);
+        }
+        return turn.poll();
+    }
+
+    private void askOthers(final String target, final long number) {
+        final List<String> helpers = new ArrayList<>();
+        for (final Sibling sibling : siblings.values()) {
+            if (sibling.standing == Sibling.UP && sibling.zone.equals(self.zone) && !sibling.address.equals(target)) {
+                helpers.add(sibling.address);
+            }
+        }
+        Collections.shuffle(helpers, pulse.luck());
+        for (int i = 0; i < Math.min(PROBE_HELPERS, helpers.size()); i++) {
+            final Detour detour = new Detour();
+            detour.number = number;
+            detour.target = target;
+            send(helpers.get(i), detour);
+        }
+    }
+
+    private void suspect(final String address) {
+        final Sibling sibling = siblings.get(address);
+        if (sibling != null && sibling.standing == Sibling.UP) {
+            Event.SIBLING_SUSPECT.info(sibling.node + " " + sibling.duty);
+            change(sibling, Sibling.SUSPECT);
+        }
+    }
+
+    private void change(final Sibling sibling, final int standing) {
+        sibling.standing = standing;
+        changedMs.put(sibling.address, pulse.nowMs());
+        tell(sibling.address);
+        watchers.forEach(Runnable::run);
+    }
+
+    private void sweep() {
+        final long nowMs = pulse.nowMs();
+        for (final Iterator<Sibling> each = siblings.values().iterator(); each.hasNext();) {
+            final Sibling sibling = each.next();
+            final long sinceMs = nowMs - changedMs.getOrDefault(sibling.address, nowMs);
+            if (sibling.standing == Sibling.SUSPECT && sinceMs > SUSPECT_MS) {
+                Event.SIBLING_GONE.info(sibling.node + " " + sibling.duty);
+                change(sibling, Sibling.GONE);
+            } else if (!sibling.up() && sinceMs > GONE_MS) {
+                each.remove();
+                changedMs.remove(sibling.address);
+            }
+        }
+    }
+
+    private void send(final String address, final Letter letter) {
+        letter.self = self.copy();
+        for (final String about : List.copyOf(newsLeft.keySet())) {
+            if (letter.news.size() >= NEWS_PER_PROBE) {
+                break;
+            }
+            final int left = newsLeft.merge(about, -1, Integer::sum);
+            if (left <= 0) {
+                newsLeft.remove(about);
+            }
+            final Sibling known = siblings.get(about);
+            if (known != null) {
+                letter.news.add(known.copy());
+            }
+        }
+        sender.accept(address, letter);
+    }
+
+    public void take(final String from, final Object taken) {
+        if (!(taken instanceof Letter letter) || letter.self == null) {
+            return;
+        }
+        hear(letter.self);
+        letter.news.forEach(this::hear);
+        if (letter instanceof Probe probe) {
+            final Echo echo = new Echo();
+            echo.number = probe.number;
+            send(from, echo);
+        } else if (letter instanceof Echo echo) {
+            final Consumer<Sibling> awaiting = awaited.remove(echo.number);
+            if (awaiting != null) {
+                awaiting.accept(letter.self);
+            }
+        } else if (letter instanceof Detour detour) {
+            final long number = ++probeNumber;
+            awaited.put(number, sibling -> {
+                final Echo echo = new Echo();
+                echo.number = detour.number;
+                send(from, echo);
+            });
+            pulse.after(PROBE_MS, () -> awaited.remove(number));
+            final Probe probe = new Probe();
+            probe.number = number;
+            send(detour.target, probe);
+        } else if (letter instanceof Hail) {
+            final Crew crew = new Crew();
+            siblings.values().stream().filter(Sibling::up).limit(CREW_MOST).forEach(one -> crew.news.add(one.copy()));
+            send(from, crew);
+        }
+    }
+
+    private void hear(final Sibling news) {
+        if (news.address.equals(self.address)) {
+            // News of an earlier life, or a suspicion: refuted by a higher number.
+            if (!left && news.number >= self.number && (news.life != self.life || news.standing != Sibling.UP)) {
+                raise(news.number + 1);
+            }
+            return;
+        }
+        final Sibling known = siblings.get(news.address);
+        if (known == null) {
+            // Someone unknown who is gone already is no news.
+            if (news.up()) {
+                siblings.put(news.address, news);
+                changedMs.put(news.address, pulse.nowMs());
+                tell(news.address);
+                Event.SIBLING_JOINED.info(news.node + " " + news.duty);
+                watchers.forEach(Runnable::run);
+            }
+        } else if (news.over(known)) {
+            siblings.put(news.address, news);
+            change(news, news.standing);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/yewjunction/roster/Sibling.java
@@ -0,0 +1,46 @@
+package yewjunction.roster;
+
+/** One process of the system as the roster knows it. */
+public final class Sibling {
+    static final int UP = 0;
+    static final int SUSPECT = 1;
+    static final int LEFT = 2;
+    static final int GONE = 3;
+
+    /** ip:port for siblings; the key. */
+    public String address = "";
+    public String node = "";
+    public String zone = "";
+    /** tide, vault or crux. */
+    public String duty = "";
+    /** Where clients connect, empty where they do not. */
+    public String front = "";
+    /** Drawn at each start of the process: tells lives at one address apart. */
+    public long life;
+    public boolean ready;
+    long number;
+    int standing;
+
+    Sibling copy() {
+        final Sibling copied = new Sibling();
+        copied.address = address;
+        copied.node = node;
+        copied.zone = zone;
+        copied.duty = duty;
+        copied.front = front;
+        copied.life = life;
+        copied.ready = ready;
+        copied.number = number;
+        copied.standing = standing;
+        return copied;
+    }
+
+    public boolean up() {
+        return standing <= SUSPECT;
+    }
+
+    /** Whether this news goes over what is known: a higher number wins, then the worse standing. */
+    boolean over(final Sibling known) {
+        return number > known.number || number == known.number && standing > known.standing;
+    }
+}
--- /dev/null
+++ b/src/main/java/yewjunction/settings/package-info.java
@@ -0,0 +1,2 @@
+/** The settings file of a process, read and checked. */
+package yewjunction.settings;
--- /dev/null
+++ b/src/main/java/yewjunction/vault/Gate.java
@@ -0,0 +1,121 @@
+package yewjunction.vault;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import yewjunction.base.Link;
+import yewjunction.base.Post;
+import yewjunction.base.Pulse;
+import yewjunction.ledger.Ledger;
+import yewjunction.vault.Letters.Admit;
+import yewjunction.vault.Letters.Verdict;
+
+import static yewjunction.base.Limits.NUMBER_MS;
+import static yewjunction.vault.Letters.ACCEPTED;
+import static yewjunction.vault.Letters.DENIED;
+import static yewjunction.vault.Letters.ELSEWHERE;
+
+/** Admission of new messages, by the vaults' leader alone: doubles, order, quota, then the ledger. */
+public final class Gate {
+    private final Pulse pulse;
+    private final Ledger ledger;
+    private final Cellar cellar;
+    private final Map<String, List<Asker>> inFlight = new HashMap<>();
+    private final Map<String, Long> highestInFlight = new HashMap<>();
+    private final LinkedHashMap<String, Long> deniedMs = new LinkedHashMap<>();
+
+    private record Asker(Link link, long errand) {
+    }
+
+    public Gate(final Pulse pulse, final Post post, final Ledger ledger, final Cellar cellar) {
+        this.pulse = pulse;
+        this.ledger = ledger;
+        this.cellar = cellar;
+        post.on(Admit.class, this::admit);
+    }
+
+    private static String key(final Message message) {
+        return Numbers.key(message.client, message.topic) + " " + message.number;
+    }
+
+    private void admit(final Link link, final Admit admit) {
+        final Message message = admit.message;
+        final Asker asker = new Asker(link, admit.errand);
+        if (!ledger.leads()) {
+            answer(asker, ELSEWHERE);
+            return;
+        }
+        final String key = key(message);
+        final String track = Numbers.key(message.client, message.topic);
+        final List<Asker> askers = inFlight.get(key);
+        if (cellar.numbers.accepted(message.client, message.topic, message.number)) {
+            answer(asker, ACCEPTED);
+        } else if (askers != null) {
+            askers.add(asker);
+        } else if (deniedMs.containsKey(key)) {
+            answer(asker, DENIED);
+        } else if (message.number <= Math.max(cellar.numbers.highest(message.client, message.topic),
+                highestInFlight.getOrDefault(track, 0L))) {
+            // Never accepted and below an accepted one: it would break the sender's order.
+            deny(key, asker);
+        } else if (!cellar.quotas.take(message.tenant, pulse.nowMs())) {
+            deny(key, asker);
+        } else {
+            append(key, track, message, asker);
+        }
+    }
+
+    private void append(final String key, final String track, final Message message, final Asker asker) {
+        final List<Asker> askers = new ArrayList<>(1);
+        askers.add(asker);
+        inFlight.put(key, askers);
+        highestInFlight.put(track, message.number);
+        final boolean taken = ledger.propose(Cellar.bytes(message), done -> {
+            final List<Asker> owed = inFlight.remove(key);
+            highestInFlight.remove(track, message.number);
+            // Without a clear end nothing is said: the edge asks the next leader with the same number.
+            if (done && owed != null) {
+                owed.forEach(one -> answer(one, ACCEPTED));
+            }
+        });
+        if (!taken) {
+            inFlight.remove(key);
+            highestInFlight.remove(track);
+            answer(asker, ELSEWHERE);
+        }
+    }
+
+    /** The promise is remembered for longer than a copy of the number can be under way. */
+    private void deny(final String key, final Asker asker) {
+        final long nowMs = pulse.nowMs();
+        deniedMs.put(key, nowMs);
+        for (final Iterator<Long> each = deniedMs.values().iterator(); each.hasNext();) {
+            if (nowMs - each.next() <= NUMBER_MS) {
+                break;
+            }
+            each.remove();
+        }
+        answer(asker, DENIED);
+    }
+
+    private static void answer(final Asker asker, final int what) {
+        final Verdict verdict = new Verdict();
+        verdict.errand = asker.errand;
+        verdict.what = what;
+        asker.link.send(verdict);
+    }
+
+    /** Whether this leader admitted the message itself. */
+    public boolean admitted(final Message message) {
+        return inFlight.containsKey(key(message));
+    }
+
+    /** The leadership changed: what was in flight is the log's matter now. */
+    public void leaderChanged() {
+        inFlight.clear();
+        highestInFlight.clear();
+    }
+}
