--- /dev/null
+++ b/src/main/java/yewjunction/ledger/Election.java
@@ -0,0 +1,115 @@
+package yewjunction.ledger;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import yewjunction.base.Event;
+import yewjunction.ledger.Letters.Ask;
+import yewjunction.ledger.Letters.AskAnswer;
+
+import static yewjunction.base.Limits.ELECT_LEAST_MS;
+import static yewjunction.base.Limits.ELECT_MOST_MS;
+
+/** When and how a member stands for the lead. */
+final class Election {
+    private final Ledger ledger;
+    private final Set<String> grants = new HashSet<>();
+    private long electAtMs;
+    /** Votes proper are being asked for, not only whether they would be given. */
+    private boolean firm;
+
+    Election(final Ledger ledger) {
+        this.ledger = ledger;
+    }
+
+    void restartClock() {
+        electAtMs = ledger.pulse.nowMs() + ELECT_LEAST_MS
+            + ledger.pulse.luck().nextInt((int) (ELECT_MOST_MS - ELECT_LEAST_MS));
+    }
+
+    void watch() {
+        if (ledger.stopped()) {
+            return;
+        }
+        final long nowMs = ledger.pulse.nowMs();
+        if (!ledger.leadsTerm() && nowMs >= electAtMs) {
+            stand(false);
+        }
+        ledger.pulse.after(Math.max(10, ledger.leadsTerm() ? ELECT_LEAST_MS : electAtMs - nowMs), this::watch);
+    }
+
+    /** Asks for votes: first only whether they would be given, so that a member cut off raises no terms. */
+    void stand(final boolean handedOver) {
+        restartClock();
+        if (ledger.identity() == null || !ledger.voters().contains(ledger.identity())) {
+            return;
+        }
+        if (handedOver) {
+            standFirmly(true);
+            return;
+        }
+        ledger.follow(null);
+        grants.add(ledger.identity());
+        askAll(true, false);
+        count(true);
+    }
+
+    private void standFirmly(final boolean handedOver) {
+        ledger.stands();
+        firm = true;
+        grants.clear();
+        final long newTerm = ledger.archive.term + 1;
+        ledger.archive.saveVote(newTerm, ledger.identity(), () -> {
+            // Asked only once the own vote is on disk.
+            if (ledger.archive.term == newTerm && firm) {
+                grants.add(ledger.identity());
+                askAll(false, handedOver);
+                count(false);
+            }
+        });
+    }
+
+    private void askAll(final boolean pre, final boolean handedOver) {
+        for (final String voter : ledger.voters()) {
+            if (!voter.equals(ledger.identity())) {
+                final Ask ask = new Ask();
+                ask.pre = pre;
+                ask.handedOver = handedOver;
+                ask.lastIndex = ledger.log.lastIndex();
+                ask.lastTerm = ledger.log.lastTerm();
+                ledger.post.dial(Ledger.address(voter))
+                    .send(Ledger.withTerm(ledger.addressed(ask, voter), ledger.archive.term + (pre ? 1 : 0)));
+            }
+        }
+    }
+
+    void granted(final AskAnswer answer) {
+        final long term = ledger.archive.term;
+        if (answer.term > term && !answer.granted) {
+            ledger.seen(answer.term);
+        } else if (answer.granted && answer.pre != firm && answer.term == term + (answer.pre ? 1 : 0) && !grants.isEmpty()) {
+            grants.add(answer.from);
+            count(answer.pre);
+        }
+    }
+
+    private void count(final boolean pre) {
+        final List<String> voters = ledger.voters();
+        if (voters.stream().filter(grants::contains).count() * 2 <= voters.size()) {
+            return;
+        }
+        if (pre) {
+            standFirmly(false);
+        } else {
+            over();
+            Event.LEADER_WON.info("group " + ledger.group + " term " + ledger.archive.term);
+            ledger.lead();
+        }
+    }
+
+    /** This member stands no more: it leads, or follows somebody. */
+    void over() {
+        firm = false;
+        grants.clear();
+    }
+}
--- a/src/main/java/yewjunction/ledger/Following.java
+++ b/src/main/java/yewjunction/ledger/Following.java
@@ -96,15 +96,15 @@
                 continue;
             }
             if (fresh.isEmpty() && entry.index <= log.lastIndex()) {
-                ledger.cutFrom(entry.index);
+                ledger.course.cutFrom(entry.index);
             }
             fresh.add(entry);
         }
-        ledger.write(fresh);
+        ledger.course.write(fresh);
         final long match = Math.max(append.prevIndex + append.entries.size(), log.baseIndex());
-        ledger.commitTo(Math.min(append.commit, match));
-        if (match <= ledger.syncedIndex || append.entries.isEmpty()) {
-            answer(link, append, true, Math.min(match, ledger.syncedIndex));
+        ledger.course.commitTo(Math.min(append.commit, match));
+        if (match <= ledger.course.syncedIndex() || append.entries.isEmpty()) {
+            answer(link, append, true, Math.min(match, ledger.course.syncedIndex()));
         } else {
             waiting.add(new Waiting(link, append, match));
         }
@@ -120,7 +120,7 @@
             if (one.append.term != ledger.archive.term) {
                 continue;
             }
-            if (one.match <= ledger.syncedIndex) {
+            if (one.match <= ledger.course.syncedIndex()) {
                 answer(one.link, one.append, true, one.match);
             } else {
                 waiting.add(one);
@@ -143,7 +143,7 @@
         waiting.clear();
         final Append asked = new Append();
         asked.from = image.from;
-        ledger.installed(image.lastIndex, image.lastTerm, image.voters, image.state,
+        ledger.course.installed(image.lastIndex, image.lastTerm, image.voters, image.state,
             () -> answer(link, asked, true, image.lastIndex));
     }
 }
--- a/src/main/java/yewjunction/ledger/Leading.java
+++ b/src/main/java/yewjunction/ledger/Leading.java
@@ -1,39 +1,32 @@
 package yewjunction.ledger;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
-import yewjunction.base.Event;
 import yewjunction.ledger.Letters.Append;
 import yewjunction.ledger.Letters.AppendAnswer;
-import yewjunction.ledger.Letters.HandOver;
 import yewjunction.ledger.Letters.Image;
 
 import static yewjunction.base.Limits.APPEND_AGAIN_MS;
 import static yewjunction.base.Limits.APPEND_BYTES;
 import static yewjunction.base.Limits.APPEND_ENTRIES;
 import static yewjunction.base.Limits.BEAT_MS;
-import static yewjunction.base.Limits.CAUGHT_UP_ENTRIES;
 import static yewjunction.base.Limits.ELECT_MOST_MS;
-import static yewjunction.base.Limits.HAND_OVER_MS;
 
-/** What a leader does: replicates, commits, confirms its leadership, changes voters, hands over. */
+/** What a leader does: replicates, commits, confirms its leadership. */
 final class Leading {
     private final Ledger ledger;
+    private final Electorate electorate;
     private final Map<String, Standing> standings = new HashMap<>();
-    private final List<Check> checks = new ArrayList<>();
+    private final Rounds rounds;
     private long firstIndex;
-    private long round;
     private long era;
-    private boolean handing;
-    private boolean handed;
     private boolean sending;
     private boolean announced;
 
     /** How far a sibling is. */
-    private static final class Standing {
+    static final class Standing {
         long next;
         long match;
         long round;
@@ -42,18 +35,16 @@
         boolean wantsVote;
     }
 
-    private record Check(long round, Consumer<Boolean> done) {
-    }
-
     Leading(final Ledger ledger) {
         this.ledger = ledger;
+        electorate = new Electorate(ledger, this);
+        rounds = new Rounds(ledger);
     }
 
     void begin() {
         era++;
         standings.clear();
-        handing = false;
-        handed = false;
+        electorate.reset();
         announced = false;
         for (final String voter : ledger.voters()) {
             standing(voter);
@@ -65,21 +56,23 @@
 
     void end() {
         era++;
-        handing = false;
-        final List<Check> owed = new ArrayList<>(checks);
-        checks.clear();
-        owed.forEach(check -> check.done.accept(false));
+        electorate.reset();
+        rounds.drop();
     }
 
     long firstIndex() {
         return firstIndex;
     }
 
-    boolean handing() {
-        return handing;
+    Electorate electorate() {
+        return electorate;
     }
 
-    private Standing standing(final String identity) {
+    Map<String, Standing> standings() {
+        return standings;
+    }
+
+    Standing standing(final String identity) {
         return standings.computeIfAbsent(identity, key -> {
             final Standing fresh = new Standing();
             fresh.next = ledger.log.lastIndex() + 1;
@@ -106,15 +99,15 @@
             ledger.restartClock();
             return;
         }
-        round++;
+        rounds.next();
         sendAll();
-        settleVoters();
+        electorate.settle();
         ledger.pulse.after(BEAT_MS, () -> beat(ofEra));
     }
 
     long append(final int kind, final byte[] data) {
         final Entry entry = new Entry(ledger.log.lastIndex() + 1, ledger.archive.term, kind, data);
-        ledger.write(List.of(entry));
+        ledger.course.write(List.of(entry));
         sendSoon();
         return entry.index;
     }
@@ -156,7 +149,7 @@
         append.prevIndex = standing.next - 1;
         append.prevTerm = log.termAt(append.prevIndex);
         append.commit = ledger.commit();
-        append.round = round;
+        append.round = rounds.newest();
         // A silent sibling gets beats only: what it misses would pile up on its link.
         if (!silent) {
             append.entries = log.slice(standing.next, APPEND_ENTRIES, APPEND_BYTES);
@@ -177,7 +170,7 @@
         image.lastIndex = ledger.applied();
         image.lastTerm = ledger.log.termAt(image.lastIndex);
         image.voters = ledger.log.votersAt(image.lastIndex);
-        image.state = ledger.image();
+        image.state = ledger.course.image();
         ledger.sendTo(identity, image);
     }
 
@@ -200,8 +193,8 @@
             send(answer.from, standing);
         }
         advance();
-        checkRounds();
-        handOn(answer.from, standing);
+        rounds.look(this);
+        electorate.handOn(answer.from, standing);
     }
 
     void synced() {
@@ -214,13 +207,13 @@
         final List<String> voters = ledger.voters();
         final long[] matches = new long[voters.size()];
         for (int i = 0; i < matches.length; i++) {
-            matches[i] = self(voters.get(i)) ? ledger.syncedIndex : standing(voters.get(i)).match;
+            matches[i] = self(voters.get(i)) ? ledger.course.syncedIndex() : standing(voters.get(i)).match;
         }
         java.util.Arrays.sort(matches);
         final long majority = matches[(matches.length - 1) / 2];
         // Only entries of the own term are counted; older ones are committed along with them.
         if (majority > ledger.commit() && ledger.log.termAt(majority) == ledger.archive.term) {
-            ledger.commitTo(majority);
+            ledger.course.commitTo(majority);
             sendSoon();
         }
     }
@@ -237,103 +230,17 @@
     }
 
     void confirm(final Consumer<Boolean> done) {
-        round++;
-        checks.add(new Check(round, done));
+        rounds.ask(done);
         if (ledger.voters().size() == 1) {
-            checkRounds();
+            rounds.look(this);
         } else {
             sendSoon();
         }
     }
 
-    private void checkRounds() {
-        if (checks.isEmpty()) {
-            return;
-        }
-        final List<String> voters = ledger.voters();
-        final long[] rounds = new long[voters.size()];
-        for (int i = 0; i < rounds.length; i++) {
-            rounds[i] = self(voters.get(i)) ? round : standing(voters.get(i)).round;
-        }
-        java.util.Arrays.sort(rounds);
-        final long majority = rounds[(rounds.length - 1) / 2];
-        final List<Check> done = checks.stream().filter(check -> check.round <= majority).toList();
-        checks.removeAll(done);
-        done.forEach(check -> check.done.accept(true));
-    }
-
-    // --- voters ---
-
     void learn(final String identity, final boolean wantsVote) {
         if (ledger.leadsTerm()) {
             standing(identity).wantsVote = wantsVote;
         }
     }
-
-    boolean nearEnd(final String identity) {
-        final Standing standing = standings.get(identity);
-        return standing != null && standing.match + CAUGHT_UP_ENTRIES >= ledger.log.lastIndex();
-    }
-
-    void changeVoters(final List<String> newVoters) {
-        // One change at a time, and only by a leader that has committed in its own term.
-        if (ledger.leads() && ledger.log.lastVotersIndex() <= ledger.commit() && !newVoters.equals(ledger.voters())) {
-            newVoters.forEach(this::standing);
-            append(Entry.VOTERS, Archive.votersData(newVoters));
-        }
-    }
-
-    /** A newcomer at a voter's address means that the voter's disk is gone: first the old goes, then the new comes. */
-    private void settleVoters() {
-        if (!ledger.leads() || ledger.log.lastVotersIndex() > ledger.commit()) {
-            return;
-        }
-        final List<String> voters = ledger.voters();
-        for (final Map.Entry<String, Standing> one : standings.entrySet()) {
-            // Only one that answers right now: an identity whose disk is gone again stays out.
-            if (!one.getValue().wantsVote || voters.contains(one.getKey()) || !nearEnd(one.getKey())
-                || ledger.pulse.nowMs() - one.getValue().heardMs > APPEND_AGAIN_MS) {
-                continue;
-            }
-            final String address = Ledger.address(one.getKey());
-            final List<String> newVoters = new ArrayList<>(voters);
-            if (!newVoters.removeIf(voter -> Ledger.address(voter).equals(address))) {
-                newVoters.add(one.getKey());
-            }
-            changeVoters(newVoters);
-            return;
-        }
-        standings.keySet().removeIf(identity -> !voters.contains(identity)
-            && ledger.pulse.nowMs() - standings.get(identity).heardMs > 20 * ELECT_MOST_MS);
-    }
-
-    // --- handing over ---
-
-    void handOver(final Runnable done) {
-        if (!ledger.leadsTerm() || ledger.voters().size() == 1) {
-            done.run();
-            return;
-        }
-        handing = true;
-        Event.LEADER_HANDED.info("group " + ledger.group);
-        standings.forEach((identity, standing) -> handOn(identity, standing));
-        final long startMs = ledger.pulse.nowMs();
-        waitHanded(startMs, done);
-    }
-
-    private void waitHanded(final long startMs, final Runnable done) {
-        if (!ledger.leadsTerm() || ledger.pulse.nowMs() - startMs > HAND_OVER_MS) {
-            done.run();
-        } else {
-            ledger.pulse.after(20, () -> waitHanded(startMs, done));
-        }
-    }
-
-    private void handOn(final String identity, final Standing standing) {
-        if (handing && !handed && !self(identity) && standing.match == ledger.log.lastIndex()
-            && ledger.voters().contains(identity) && ledger.pulse.nowMs() - standing.heardMs < 3 * BEAT_MS) {
-            handed = true;
-            ledger.sendTo(identity, new HandOver());
-        }
-    }
 }
--- a/src/main/java/yewjunction/ledger/Ledger.java
+++ b/src/main/java/yewjunction/ledger/Ledger.java
@@ -1,10 +1,6 @@
 package yewjunction.ledger;
 
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
-import java.util.Set;
 import java.util.function.Consumer;
 import yewjunction.base.Event;
 import yewjunction.base.Link;
@@ -16,8 +12,6 @@
 
 import static yewjunction.base.Limits.ELECT_LEAST_MS;
 import static yewjunction.base.Limits.ELECT_MOST_MS;
-import static yewjunction.base.Limits.LEDGER_BYTES;
-import static yewjunction.base.Limits.LEDGER_TAIL_ENTRIES;
 
 /** One member of a replicated log. All calls on the owner's thread. */
 public final class Ledger {
@@ -31,22 +25,12 @@
     private final Machine machine;
     private final Leading leading;
     private final Following following;
-    private final Map<Long, Proposal> proposals = new HashMap<>();
-    private final Set<String> grants = new HashSet<>();
+    private final Election election;
+    final Course course;
     private Role role = Role.FOLLOWS;
     private String leaderIdentity;
     private long heardMs;
-    private long electAtMs;
-    private boolean standing;
     private boolean stopped;
-    private boolean rewriting;
-    private long commit;
-    private long applied;
-    long syncedIndex;
-    private long cuts;
-
-    private record Proposal(long term, Consumer<Boolean> done) {
-    }
 
     public Ledger(final int group, final Pulse pulse, final Post post, final Disk disk, final Clerk clerk,
             final String name, final Machine machine) {
@@ -58,12 +42,8 @@
         log = archive.log;
         leading = new Leading(this);
         following = new Following(this);
-        if (archive.state != null) {
-            machine.restore(archive.stateIndex, archive.state);
-            applied = archive.stateIndex;
-            commit = applied;
-        }
-        syncedIndex = log.lastIndex();
+        election = new Election(this);
+        course = new Course(this, machine);
         heardMs = -ELECT_MOST_MS;
         Event.LEDGER_OPENED.info("group " + group + " identity " + archive.identity + " term " + archive.term
             + " last " + log.lastIndex() + " voters " + voters());
@@ -85,7 +65,7 @@
 
     public void start() {
         restartClock();
-        watch();
+        election.watch();
     }
 
     public void stop() {
@@ -109,16 +89,16 @@
     }
 
     public long commit() {
-        return commit;
+        return course.commit();
     }
 
     public long applied() {
-        return applied;
+        return course.applied();
     }
 
     /** True when this member leads and has applied all that was committed before its term. */
     public boolean leads() {
-        return role == Role.LEADS && applied >= leading.firstIndex() && !stopped;
+        return role == Role.LEADS && course.applied() >= leading.firstIndex() && !stopped;
     }
 
     boolean leadsTerm() {
@@ -131,11 +111,11 @@
 
     /** Appends at the leader; done tells once it is applied here, or false when the leadership ended first. */
     public boolean propose(final byte[] data, final Consumer<Boolean> done) {
-        if (!leads() || leading.handing()) {
+        if (!leads() || leading.electorate().handing()) {
             return false;
         }
         final long index = leading.append(Entry.DATA, data);
-        proposals.put(index, new Proposal(archive.term, done));
+        course.await(index, archive.term, done);
         return true;
     }
 
@@ -149,12 +129,12 @@
     }
 
     public void changeVoters(final List<String> newVoters) {
-        leading.changeVoters(newVoters);
+        leading.electorate().change(newVoters);
     }
 
     /** Whether a member is within a few entries of this leader's end. */
     public boolean nearEnd(final String identity) {
-        return leading.nearEnd(identity);
+        return leading.electorate().nearEnd(identity);
     }
 
     public void learn(final String identity, final boolean wantsVote) {
@@ -167,7 +147,7 @@
     }
 
     public void handOver(final Runnable done) {
-        leading.handOver(done);
+        leading.electorate().handOver(done);
     }
 
     /** Takes the group's letters from the post; other groups of the process listen beside it. */
@@ -190,7 +170,7 @@
         if (letter instanceof Ask ask) {
             following.ask(link, ask);
         } else if (letter instanceof AskAnswer answer) {
-            granted(answer);
+            election.granted(answer);
         } else if (letter instanceof Letters.Append append) {
             following.append(link, append);
         } else if (letter instanceof Letters.AppendAnswer answer) {
@@ -198,7 +178,7 @@
         } else if (letter instanceof Letters.Image image) {
             following.image(link, image);
         } else if (letter instanceof HandOver handOver && handOver.term == archive.term) {
-            stand(true);
+            election.stand(true);
         } else if (letter instanceof Letters.Join joiner) {
             leading.learn(joiner.from, joiner.wantsVote);
         }
@@ -216,103 +196,29 @@
         post.dial(address(identity)).send(addressed(letter, identity));
     }
 
-    // --- elections ---
-
-    void restartClock() {
-        electAtMs = pulse.nowMs() + ELECT_LEAST_MS + pulse.luck().nextInt((int) (ELECT_MOST_MS - ELECT_LEAST_MS));
+    static <T extends Letters.Letter> T withTerm(final T letter, final long term) {
+        letter.term = term;
+        return letter;
     }
 
-    private void watch() {
-        if (stopped) {
-            return;
-        }
-        final long nowMs = pulse.nowMs();
-        if (role != Role.LEADS && nowMs >= electAtMs) {
-            stand(false);
-        }
-        pulse.after(Math.max(10, role == Role.LEADS ? ELECT_LEAST_MS : electAtMs - nowMs), this::watch);
+    // --- roles ---
+
+    void restartClock() {
+        election.restartClock();
     }
 
     boolean heardLately() {
         return role == Role.LEADS || leaderIdentity != null && pulse.nowMs() - heardMs < ELECT_LEAST_MS;
     }
 
-    /** Asks for votes: first only whether they would be given, so that a member cut off raises no terms. */
-    private void stand(final boolean handedOver) {
-        restartClock();
-        if (archive.identity == null || !voters().contains(archive.identity)) {
-            return;
-        }
-        grants.clear();
-        standing = false;
-        if (handedOver) {
-            standFirmly(true);
-            return;
-        }
-        role = Role.FOLLOWS;
-        lostLeader();
-        grants.add(archive.identity);
-        askAll(true, false);
-        count(true);
-    }
-
-    private void standFirmly(final boolean handedOver) {
+    void stands() {
         role = Role.STANDS;
-        standing = true;
-        grants.clear();
-        final long newTerm = archive.term + 1;
-        archive.saveVote(newTerm, archive.identity, () -> {
-            if (archive.term == newTerm && role == Role.STANDS) {
-                grants.add(archive.identity);
-                askAll(false, handedOver);
-                count(false);
-            }
-        });
-    }
-
-    private void askAll(final boolean pre, final boolean handedOver) {
-        for (final String voter : voters()) {
-            if (!voter.equals(archive.identity)) {
-                final Ask ask = new Ask();
-                ask.pre = pre;
-                ask.handedOver = handedOver;
-                ask.lastIndex = log.lastIndex();
-                ask.lastTerm = log.lastTerm();
-                post.dial(address(voter)).send(withTerm(addressed(ask, voter), archive.term + (pre ? 1 : 0)));
-            }
-        }
     }
 
-    static <T extends Letters.Letter> T withTerm(final T letter, final long term) {
-        letter.term = term;
-        return letter;
-    }
-
-    private void granted(final AskAnswer answer) {
-        if (answer.term > archive.term && !answer.granted) {
-            seen(answer.term);
-        } else if (answer.granted && answer.pre && !standing && role == Role.FOLLOWS && answer.term == archive.term + 1
-            || answer.granted && !answer.pre && role == Role.STANDS && answer.term == archive.term) {
-            grants.add(answer.from);
-            count(answer.pre);
-        }
-    }
-
-    private void count(final boolean pre) {
-        final List<String> voters = voters();
-        if (voters.stream().filter(grants::contains).count() * 2 <= voters.size()) {
-            return;
-        }
-        if (pre) {
-            standFirmly(false);
-        } else {
-            role = Role.LEADS;
-            standing = false;
-            grants.clear();
-            Event.LEADER_WON.info("group " + group + " term " + archive.term);
-            leaderIdentity = archive.identity;
-            leading.begin();
-        }
+    void lead() {
+        role = Role.LEADS;
+        leaderIdentity = archive.identity;
+        leading.begin();
     }
 
     /** A later term was seen: whatever this member was, it follows now. */
@@ -329,8 +235,7 @@
             leading.end();
         }
         role = Role.FOLLOWS;
-        standing = false;
-        grants.clear();
+        election.over();
         if (newLeader == null) {
             lostLeader();
         } else {
@@ -338,7 +243,7 @@
             restartClock();
             if (!newLeader.equals(leaderIdentity)) {
                 leaderIdentity = newLeader;
-                dropProposals();
+                course.dropProposals();
                 machine.leader(newLeader, false);
             }
         }
@@ -347,99 +252,20 @@
     private void lostLeader() {
         if (leaderIdentity != null) {
             leaderIdentity = null;
-            dropProposals();
+            course.dropProposals();
             machine.leader(null, false);
         }
     }
 
-    private void dropProposals() {
-        final List<Proposal> dropped = List.copyOf(proposals.values());
-        proposals.clear();
-        dropped.forEach(proposal -> proposal.done.accept(false));
-    }
-
-    // --- entries ---
-
-    void write(final List<Entry> entries) {
-        if (entries.isEmpty()) {
-            return;
-        }
-        final Entry last = entries.get(entries.size() - 1);
-        final long cutsThen = cuts;
-        archive.append(entries, () -> {
-            // Only entries that were not cut since may count as synced.
-            if (cutsThen == cuts && log.termAt(last.index) == last.term) {
-                syncedIndex = Math.max(syncedIndex, last.index);
-                following.synced();
-                leading.synced();
-            }
-        });
-    }
-
-    void cutFrom(final long index) {
-        // Invariant: what is committed is never cut.
-        if (index <= commit) {
-            throw new IllegalStateException("cut at " + index + " below commit " + commit);
-        }
-        cuts++;
-        syncedIndex = Math.min(syncedIndex, index - 1);
-        archive.cutFrom(index);
+    Following following() {
+        return following;
     }
 
-    void installed(final long index, final long term, final List<String> voters, final byte[] state, final Runnable after) {
-        cuts++;
-        machine.restore(index, state);
-        applied = index;
-        commit = index;
-        archive.install(index, term, voters, state, () -> {
-            syncedIndex = Math.max(syncedIndex, index);
-            after.run();
-        });
-        machine.settled(commit);
-    }
-
-    void commitTo(final long newCommit) {
-        if (newCommit <= commit) {
-            return;
-        }
-        commit = Math.min(newCommit, log.lastIndex());
-        while (applied < commit) {
-            final Entry entry = log.get(applied + 1);
-            applied = entry.index;
-            if (entry.kind == Entry.DATA) {
-                machine.apply(entry.index, entry.data);
-            } else if (entry.kind == Entry.VOTERS) {
-                Event.VOTERS_CHANGED.info("group " + group + " " + Archive.votersOf(entry.data));
-            }
-            final Proposal proposal = proposals.remove(entry.index);
-            if (proposal != null) {
-                proposal.done.accept(proposal.term == entry.term);
-            }
-        }
-        if (leadsTerm()) {
-            leading.advanced();
-        }
-        machine.settled(commit);
-        shorten();
+    Leading leading() {
+        return leading;
     }
 
     void announceLeading() {
         machine.leader(archive.identity, true);
     }
-
-    private void shorten() {
-        if (rewriting || archive.bytes() < LEDGER_BYTES) {
-            return;
-        }
-        rewriting = true;
-        log.dropTo(Math.max(log.baseIndex(), applied - LEDGER_TAIL_ENTRIES));
-        archive.rewrite(applied, machine.snapshot(), () -> {
-            rewriting = false;
-            Event.LEDGER_REWRITTEN.info("group " + group + " bytes " + archive.bytes());
-        });
-    }
-
-    byte[] image() {
-        return machine.snapshot();
-    }
 }
--- /dev/null
+++ b/src/main/java/yewjunction/ledger/Rounds.java
@@ -0,0 +1,56 @@
+package yewjunction.ledger;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.function.Consumer;
+
+/** Questions whether this member still leads, each answered by a majority's answers to later appends. */
+final class Rounds {
+    private final Ledger ledger;
+    private final List<Question> questions = new ArrayList<>();
+    private long newest;
+
+    private record Question(long round, Consumer<Boolean> done) {
+    }
+
+    Rounds(final Ledger ledger) {
+        this.ledger = ledger;
+    }
+
+    long newest() {
+        return newest;
+    }
+
+    long next() {
+        return ++newest;
+    }
+
+    void ask(final Consumer<Boolean> done) {
+        questions.add(new Question(next(), done));
+    }
+
+    /** Answers what a majority has answered by now. */
+    void look(final Leading leading) {
+        if (questions.isEmpty()) {
+            return;
+        }
+        final List<String> voters = ledger.voters();
+        final long[] rounds = new long[voters.size()];
+        for (int i = 0; i < rounds.length; i++) {
+            rounds[i] = voters.get(i).equals(ledger.identity()) ? newest : leading.standing(voters.get(i)).round;
+        }
+        Arrays.sort(rounds);
+        final long majority = rounds[(rounds.length - 1) / 2];
+        final List<Question> answered = questions.stream().filter(question -> question.round <= majority).toList();
+        questions.removeAll(answered);
+        answered.forEach(question -> question.done.accept(true));
+    }
+
+    /** The leadership is over: whoever asked is told no. */
+    void drop() {
+        final List<Question> owed = new ArrayList<>(questions);
+        questions.clear();
+        owed.forEach(question -> question.done.accept(false));
+    }
+}
