--- a/src/main/java/yewjunction/app/Main.java
+++ b/src/main/java/yewjunction/app/Main.java
@@ -9,6 +9,7 @@
 import com.github.rvesse.airline.parser.errors.ParseException;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
+import yewjunction.app.Process.Duty;
 import yewjunction.base.Defect;
 import yewjunction.settings.Settings;
 
@@ -64,8 +65,7 @@
     public static final class TideCommand extends Program {
         @Override
         int run(final Path path, final Settings settings) {
-            return settings.serves().contains("store") ? new VaultProcess(path, settings).run()
-                : new EdgeProcess(path, settings).run();
+            return new Process(path, settings, settings.serves().contains("store") ? Duty.VAULT : Duty.TIDE).run();
         }
     }
 
@@ -73,7 +73,7 @@
     public static final class CruxCommand extends Program {
         @Override
         int run(final Path path, final Settings settings) {
-            return new CruxProcess(path, settings).run();
+            return new Process(path, settings, Duty.CRUX).run();
         }
     }
 
@@ -92,12 +92,21 @@
         }
     }
 
+    @Command(name = "rehearse", description = "Starts a whole small system on loopback, passes one message through it, and ends")
+    public static final class RehearseCommand implements Callable<Integer> {
+        @Override
+        public Integer call() throws Exception {
+            return Rehearsal.run(System.out);
+        }
+    }
+
     private static Cli<Callable<Integer>> cli() {
         final CliBuilder<Callable<Integer>> builder = Cli.builder("yewjunction");
         builder.withDescription("A realtime messaging service whose nodes act as one");
         builder.withCommand(TideCommand.class);
         builder.withCommand(CruxCommand.class);
         builder.withCommand(CheckCommand.class);
+        builder.withCommand(RehearseCommand.class);
         return builder.build();
     }
 
@@ -115,7 +124,7 @@
             command = cli().parse(arguments);
         } catch (final ParseException defect) {
             System.err.println(defect.getMessage());
-            System.err.println("usage: yewjunction tide|crux|check|help");
+            System.err.println("usage: yewjunction tide|crux|check|rehearse|help");
             return EXIT_USAGE;
         }
         return command.call();
--- a/src/main/java/yewjunction/app/Process.java
+++ b/src/main/java/yewjunction/app/Process.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import org.agrona.concurrent.AgentRunner;
 import org.agrona.concurrent.NoOpIdleStrategy;
@@ -13,8 +12,14 @@
 import yewjunction.base.Event;
 import yewjunction.loom.Addresses;
 import yewjunction.loom.Datagrams;
+import yewjunction.ledger.LocalDisk;
 import yewjunction.loom.Loom;
+import yewjunction.loom.SocketLine;
 import yewjunction.loom.Wires;
+import yewjunction.node.CruxNode;
+import yewjunction.node.EdgeNode;
+import yewjunction.node.Node;
+import yewjunction.node.VaultNode;
 import yewjunction.roster.Roster;
 import yewjunction.roster.Sibling;
 import yewjunction.settings.Settings;
@@ -22,24 +27,25 @@
 import static yewjunction.base.Limits.SETTINGS_LOOK_MS;
 
 /** What all processes share: the agent, sibling links, the roster, signals, the settings file. */
-abstract class Process {
-    final Settings settings;
-    final Loom loom;
-    final Wires wires;
-    final Roster roster;
-    final String address;
-    final long life;
+final class Process {
+    private final Settings settings;
+    private final Loom loom;
+    private final Roster roster;
+    private final Node node;
+    /** What a process is for. */
+    enum Duty { TIDE, VAULT, CRUX }
+
     private final Path file;
     private final CountDownLatch ended = new CountDownLatch(1);
     private long fileMs;
     private boolean stopping;
 
-    Process(final Path file, final Settings settings, final String duty, final int offset) {
+    Process(final Path file, final Settings settings, final Duty duty) {
         this.file = file;
         this.settings = settings;
-        address = settings.address(offset);
+        final String address = settings.address(duty == Duty.CRUX ? Settings.CRUX_OFFSET : Settings.TIDE_OFFSET);
         // Drawn anew at each start: tells two lives at one address apart.
-        life = new java.security.SecureRandom().nextLong() >>> 1;
+        final long life = new java.security.SecureRandom().nextLong() >>> 1;
         loom = new Loom(life ^ System.nanoTime());
         final Codec codec = new Codec();
         yewjunction.ledger.Letters.know(codec);
@@ -47,22 +53,41 @@
         yewjunction.charter.Letters.know(codec);
         yewjunction.vault.Letters.know(codec);
         yewjunction.herald.Letters.know(codec);
-        wires = new Wires(loom, codec, Addresses.parse(address));
+        final Wires wires = new Wires(loom, codec, Addresses.parse(address));
         final Sibling self = new Sibling();
         self.address = address;
         self.node = settings.node();
         self.zone = settings.zone();
-        self.duty = duty;
+        self.duty = duty.name().toLowerCase(java.util.Locale.ROOT);
         self.front = settings.front();
         self.life = life;
         final Datagrams datagrams = new Datagrams(loom, codec, Addresses.parse(address));
         roster = new Roster(loom, self, datagrams::send);
         datagrams.onLetter(roster::take);
+        node = switch (duty) {
+            case CRUX -> new CruxNode(loom, wires, disk(), new Worker(loom), roster, settings, life);
+            case VAULT -> new VaultNode(loom, wires, disk(), new Worker(loom), roster, settings, life);
+            case TIDE -> new EdgeNode(loom, wires, roster, settings, life);
+        };
         fileMs = fileTime();
     }
 
+    private LocalDisk disk() {
+        return new LocalDisk(Path.of(settings.dataFolder()));
+    }
+
+    /** Opens the doors to the outside that this duty has. */
+    private void listen() {
+        if (node instanceof CruxNode crux) {
+            Web.operator(settings.control(), loom, crux.desk());
+        } else if (node instanceof EdgeNode edge) {
+            SocketLine.listen(loom, Addresses.parse(settings.front()), edge::greet);
+            Web.readiness(settings.ready(), edge::ready);
+        }
+    }
+
     /** Runs until told to stop. */
-    final int run() {
+    int run() {
         final AgentRunner runner = new AgentRunner(NoOpIdleStrategy.INSTANCE, defect -> Event.TURN_DEFECT.warn("loom", defect),
             null, loom);
         Signal.handle(new Signal("TERM"), signal -> loom.post(this::stopOnce));
@@ -70,7 +95,8 @@
         Signal.handle(new Signal("HUP"), signal -> loom.post(this::reread));
         loom.post(() -> {
             roster.start(settings.coreAddresses());
-            start();
+            node.start();
+            listen();
             Event.STARTED.info(settings.node() + " " + settings.role());
         });
         loom.every(SETTINGS_LOOK_MS, () -> {
@@ -87,24 +113,15 @@
         return Main.EXIT_OK;
     }
 
-    abstract void start();
-
-    /** Gives up duties; calls end when nothing is owed any more. */
-    abstract void stop();
-
-    void reread(final Settings fresh) {
-        roster.seeds(fresh.coreAddresses());
-    }
-
     private void stopOnce() {
         if (!stopping) {
             stopping = true;
             Event.STOPPING.info(settings.node() + " " + settings.role());
-            stop();
+            node.stop(this::end);
         }
     }
 
-    final void end() {
+    private void end() {
         roster.leave();
         Event.STOPPED.info(settings.node() + " " + settings.role());
         // One more turn, so that what was written in this one leaves.
@@ -122,22 +139,13 @@
     private void reread() {
         fileMs = fileTime();
         try {
-            reread(Settings.load(file));
+            final Settings fresh = Settings.load(file);
+            roster.seeds(fresh.coreAddresses());
+            node.reread(fresh);
             Event.SETTINGS_REREAD.info(file.toString());
         } catch (final Defect defect) {
             // The settings in force stay: a bad file must not stop a node that works.
             Event.SETTINGS_BAD.warn(defect.code() + " " + defect.getMessage());
         }
     }
-
-    /** Sibling addresses of a duty, own zone first, as the roster knows them now. */
-    final List<String> addresses(final String duty) {
-        return roster.up(duty).stream().map(sibling -> sibling.address).toList();
-    }
-
-    /** Cruxes, nearest first; before the roster knows any, those on the seeds' machines. */
-    final List<String> cruxes() {
-        final List<String> known = addresses("crux");
-        return known.isEmpty() ? settings.coreAddresses() : known;
-    }
 }
--- /dev/null
+++ b/src/main/java/yewjunction/app/Rehearsal.java
@@ -0,0 +1,111 @@
+package yewjunction.app;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import yewjunction.app.Process.Duty;
+import yewjunction.settings.Settings;
+
+/** A whole small system in one process on loopback: takes a configuration and carries one message. */
+final class Rehearsal {
+    private static final int STEP_MS = 50;
+    private static final int PATIENCE_MS = 20_000;
+    private static final String CONFIGURATION = """
+        {"Ver":1,"Routes":[{"Name":"r","Host":"","Pfx":"rehearsal.","Type":"kept","TimeoutMs":1500,"LingerS":30.0,\
+        "Fifo":"topic","Public":false}],"Svcs":[],"Lims":{"Subs":20},"Tenants":[{"Name":"t","Apikeys":["key"],\
+        "RatePerS":50,"Burst":50}]}""";
+    private final Path folder;
+    private final int port;
+    private final PrintStream out;
+
+    private Rehearsal(final Path folder, final PrintStream out) throws IOException {
+        this.folder = folder;
+        this.out = out;
+        // A free port tells where a free range most likely begins.
+        try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getByAddress(new byte[] {127, 0, 0, 1}))) {
+            port = Math.min(probe.getLocalPort(), 65_000);
+        }
+    }
+
+    static int run(final PrintStream out) throws IOException, InterruptedException {
+        final Path folder = Files.createTempDirectory("yewjunction");
+        try {
+            final Rehearsal rehearsal = new Rehearsal(folder, out);
+            rehearsal.start("127.0.0.1", "crux", "ctl", Duty.CRUX);
+            for (int i = 1; i <= 3; i++) {
+                rehearsal.start("127.0.0." + i, "vault" + i, "store", Duty.VAULT);
+            }
+            rehearsal.start("127.0.0.4", "tide", "edge", Duty.TIDE);
+            return rehearsal.play();
+        } finally {
+            try (var files = Files.walk(folder)) {
+                files.sorted(java.util.Comparator.reverseOrder()).forEach(file -> file.toFile().delete());
+            }
+        }
+    }
+
+    private void start(final String ip, final String name, final String serves, final Duty duty) throws IOException {
+        final Path file = folder.resolve(name + ".yaml");
+        Files.writeString(file, "Nodename: " + name + "\nRole: " + name + "\nServes: [" + serves + "]\nIp: " + ip
+            + "\nAz: zone-" + name + "\nListen: {Fe: '" + ip + ":" + (port + 4) + "', Ready: '" + ip + ":" + (port + 5)
+            + "', Ctl: '" + ip + ":" + (port + 6) + "'}\nPortRange: [" + port + ", " + (port + 3) + "]\nSeeds: ['127.0.0.1:"
+            + (port + 6) + "']\nBootstrap: true\nDatadir: " + folder.resolve(name) + "\n");
+        final Process process = new Process(file, Settings.load(file), duty);
+        final Thread thread = new Thread(process::run, name);
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private int play() throws IOException, InterruptedException {
+        final HttpClient caller = HttpClient.newHttpClient();
+        final HttpRequest replace = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + (port + 6) + "/-/config/replace"))
+            .header("Base-Version", "0").timeout(Duration.ofSeconds(2))
+            .POST(HttpRequest.BodyPublishers.ofString(CONFIGURATION)).build();
+        final HttpRequest ready = HttpRequest.newBuilder(URI.create("http://127.0.0.4:" + (port + 5) + "/-/readyz"))
+            .timeout(Duration.ofSeconds(2)).build();
+        if (!until(caller, replace) || !until(caller, ready)) {
+            out.println("rehearsal: no answer in time");
+            return 1;
+        }
+        try (Socket client = new Socket("127.0.0.4", port + 4)) {
+            client.setSoTimeout(5_000);
+            final BufferedReader in = new BufferedReader(new InputStreamReader(client.getInputStream(), StandardCharsets.US_ASCII));
+            for (final String line : new String[] {"HELLO c key", "SUB rehearsal.one", "PUB rehearsal.one 1 20\r\nabcdefghijklmnopqrst"}) {
+                client.getOutputStream().write((line + "\r\n").getBytes(StandardCharsets.US_ASCII));
+                final String answer = in.readLine();
+                out.println("rehearsal: " + line.lines().findFirst().orElse("") + " -> " + answer);
+                if (answer == null || answer.startsWith("REFUSE")) {
+                    return 1;
+                }
+            }
+            out.println("rehearsal: -> " + in.readLine());
+        }
+        return Main.EXIT_OK;
+    }
+
+    private static boolean until(final HttpClient caller, final HttpRequest request) throws InterruptedException {
+        for (int waitedMs = 0; waitedMs < PATIENCE_MS; waitedMs += STEP_MS) {
+            try {
+                if (caller.send(request, HttpResponse.BodyHandlers.discarding()).statusCode() == 200) {
+                    return true;
+                }
+            } catch (final IOException notYet) {
+                // The process is still starting: asked again.
+            }
+            Thread.sleep(STEP_MS);
+        }
+        return false;
+    }
+}
--- a/src/main/java/yewjunction/dock/Dock.java
+++ b/src/main/java/yewjunction/dock/Dock.java
@@ -3,7 +3,6 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.LongPredicate;
@@ -19,7 +18,6 @@
 
 import static yewjunction.base.Limits.AWAY_MS;
 import static yewjunction.base.Limits.DOCK_SWEEP_MS;
-import static yewjunction.base.Limits.JOIN_ANSWER_MS;
 import static yewjunction.base.Limits.SILENT_PINGS;
 
 /** All clients of one edge. */
@@ -34,13 +32,10 @@
     private final long silentMs;
     private final Map<String, Berth> clients = new HashMap<>();
     private final Map<String, Long> awayMs = new HashMap<>();
-    private final Map<String, List<Sub>> byTopic = new HashMap<>();
-    private final Map<Long, Sub> joining = new LinkedHashMap<>();
+    private final Boarding boarding;
     private final ArrayDeque<Runnable> stalled = new ArrayDeque<>();
     private LongPredicate live = replica -> true;
-    private Envoy envoy;
     private Drain drain;
-    private long joins;
 
     public Dock(final Pulse pulse, final Post post, final Tenure tenure, final Weave weave, final double pingS) {
         this.pulse = pulse;
@@ -48,12 +43,13 @@
         this.weave = weave;
         errands = new Errands(this, tenure, weave);
         shipping = new Shipping(pulse, post);
+        boarding = new Boarding(this, weave);
         silentMs = (long) (pingS * 1_000 * SILENT_PINGS);
         pulse.every(DOCK_SWEEP_MS, this::look);
     }
 
     public void envoy(final Envoy chosenEnvoy) {
-        envoy = chosenEnvoy;
+        boarding.envoy(chosenEnvoy);
     }
 
     /** Which replicas count as there. */
@@ -73,6 +69,10 @@
         return errands;
     }
 
+    Boarding boarding() {
+        return boarding;
+    }
+
     Shipping shipping() {
         return shipping;
     }
@@ -97,7 +97,7 @@
 
     void gone(final Berth berth) {
         for (final Sub sub : new ArrayList<>(berth.subs.values())) {
-            forget(sub);
+            boarding.forget(sub);
         }
         shipping.gone(berth);
         if (clients.remove(berth.client, berth)) {
@@ -117,65 +117,14 @@
         drain = chosenDrain;
     }
 
-    // --- subscriptions ---
-
-    void join(final Sub sub) {
-        sub.berth.subs.put(sub.topic, sub);
-        // Taken up from another edge: that edge's instance is cancelled by the set's own operations.
-        if (weave.elsewhere(sub.topic, sub.berth.client)) {
-            weave.remove(sub.topic, sub.berth.client);
-        }
-        sub.instance = weave.add(sub.topic, sub.berth.client);
-        final long errand = ++joins;
-        joining.put(errand, sub);
-        envoy.notice(errand, sub.topic, sub.instance, sub.position);
-    }
-
     @Override
     public void attached() {
-        joining.forEach((errand, sub) -> envoy.notice(errand, sub.topic, sub.instance, sub.position));
+        boarding.noticeAgain();
     }
 
     @Override
     public void taken(final long errand, final boolean expired, final long position, final List<Message> behind) {
-        final Sub sub = joining.remove(errand);
-        if (sub == null || sub.berth.subs.get(sub.topic) != sub) {
-            return;
-        }
-        if (expired) {
-            forget(sub);
-            weave.remove(sub.topic, sub.berth.client);
-            sub.berth.refuse("SUB", sub.topic, "", "EXPIRED");
-            return;
-        }
-        sub.after = sub.position >= 0 ? sub.position : position;
-        byTopic.computeIfAbsent(sub.topic, key -> new ArrayList<>()).add(sub);
-        whenHeld(() -> {
-            if (sub.berth.subs.get(sub.topic) == sub) {
-                sub.open = true;
-                sub.berth.ok("SUB", sub.topic, String.valueOf(sub.after));
-                behind.forEach(message -> deliver(sub, message));
-                sub.after = Math.max(sub.after, position);
-            }
-        });
-    }
-
-    private void forget(final Sub sub) {
-        sub.berth.subs.remove(sub.topic, sub);
-        joining.values().remove(sub);
-        final List<Sub> subs = byTopic.get(sub.topic);
-        if (subs != null && subs.remove(sub) && subs.isEmpty()) {
-            byTopic.remove(sub.topic);
-        }
-    }
-
-    /** The client gives a topic up. */
-    void drop(final Berth berth, final String topic) {
-        final Sub sub = berth.subs.get(topic);
-        if (sub != null) {
-            forget(sub);
-        }
-        weave.remove(topic, berth.client);
+        boarding.taken(errand, expired, position, behind);
     }
 
     // --- messages ---
@@ -183,15 +132,12 @@
     @Override
     public void message(final Message message) {
         whenHeld(() -> {
-            final List<Sub> subs = byTopic.get(message.topic);
-            if (subs != null) {
-                // Copied: a slow client's link may be cut while it is written to.
-                new ArrayList<>(subs).forEach(sub -> deliver(sub, message));
-            }
+            // Copied: a slow client's link may be cut while it is written to.
+            new ArrayList<>(boarding.subs(message.topic)).forEach(sub -> deliver(sub, message));
         });
     }
 
-    private static void deliver(final Sub sub, final Message message) {
+    static void deliver(final Sub sub, final Message message) {
         // Invariant of the stream: each index once and in order, whichever way it came.
         if (sub.open && message.index > sub.after) {
             sub.after = message.index;
@@ -200,7 +146,7 @@
     }
 
     /** Nothing is delivered under a lapsed lease; what came meanwhile follows in its order. */
-    private void whenHeld(final Runnable delivery) {
+    void whenHeld(final Runnable delivery) {
         if (stalled.isEmpty() && tenure.held()) {
             delivery.run();
         } else {
@@ -227,7 +173,7 @@
             for (final String topic : new ArrayList<>(berth.subs.keySet())) {
                 final String denial = Errands.charterDenial(charter, berth.secret, topic);
                 if (denial != null) {
-                    drop(berth, topic);
+                    boarding.drop(berth, topic);
                     berth.refuse("SUB", topic, "", denial);
                 }
             }
@@ -252,13 +198,7 @@
             stalled.poll().run();
         }
         shipping.look(nowMs);
-        for (final Sub sub : new ArrayList<>(joining.values())) {
-            if (nowMs - sub.sinceMs > JOIN_ANSWER_MS) {
-                forget(sub);
-                weave.remove(sub.topic, sub.berth.client);
-                sub.berth.refuse("SUB", sub.topic, "", "RETRY");
-            }
-        }
+        boarding.look(nowMs);
         for (final Berth berth : berths()) {
             if (nowMs - berth.heardMs > silentMs) {
                 berth.line.close();
--- a/src/main/java/yewjunction/dock/Errands.java
+++ b/src/main/java/yewjunction/dock/Errands.java
@@ -95,7 +95,7 @@
             if (position < -1) {
                 berth.refuse("SUB", topic, "", "EXPIRED");
             } else {
-                dock.join(new Sub(berth, topic, position, dock.nowMs()));
+                dock.boarding().join(new Sub(berth, topic, position, dock.nowMs()));
             }
         }
     }
@@ -116,7 +116,7 @@
             berth.refuse("UNSUB", topic, "", "BADMSG");
             return;
         }
-        dock.drop(berth, topic);
+        dock.boarding().drop(berth, topic);
         berth.ok("UNSUB", topic, "");
     }
 
--- a/src/main/java/yewjunction/ledger/Ledger.java
+++ b/src/main/java/yewjunction/ledger/Ledger.java
@@ -3,12 +3,8 @@
 import java.util.List;
 import java.util.function.Consumer;
 import yewjunction.base.Event;
-import yewjunction.base.Link;
 import yewjunction.base.Post;
 import yewjunction.base.Pulse;
-import yewjunction.ledger.Letters.Ask;
-import yewjunction.ledger.Letters.AskAnswer;
-import yewjunction.ledger.Letters.HandOver;
 
 import static yewjunction.base.Limits.ELECT_LEAST_MS;
 import static yewjunction.base.Limits.ELECT_MOST_MS;
@@ -150,38 +146,9 @@
         leading.electorate().handOver(done);
     }
 
-    /** Takes the group's letters from the post; other groups of the process listen beside it. */
+    /** Takes the group's letters from the post. */
     public void listen() {
-        post.on(Ask.class, this::take);
-        post.on(AskAnswer.class, this::take);
-        post.on(Letters.Append.class, this::take);
-        post.on(Letters.AppendAnswer.class, this::take);
-        post.on(Letters.Image.class, this::take);
-        post.on(HandOver.class, this::take);
-        post.on(Letters.Join.class, this::take);
-    }
-
-    /** Routes a letter of this group to this member; letters to another identity are not for it. */
-    public void take(final Link link, final Letters.Letter letter) {
-        if (stopped || letter.group != group || archive.identity == null
-            || letter.to != null && !letter.to.equals(archive.identity)) {
-            return;
-        }
-        if (letter instanceof Ask ask) {
-            following.ask(link, ask);
-        } else if (letter instanceof AskAnswer answer) {
-            election.granted(answer);
-        } else if (letter instanceof Letters.Append append) {
-            following.append(link, append);
-        } else if (letter instanceof Letters.AppendAnswer answer) {
-            leading.answered(answer);
-        } else if (letter instanceof Letters.Image image) {
-            following.image(link, image);
-        } else if (letter instanceof HandOver handOver && handOver.term == archive.term) {
-            election.stand(true);
-        } else if (letter instanceof Letters.Join joiner) {
-            leading.learn(joiner.from, joiner.wantsVote);
-        }
+        new Mail(this, following, leading, election).listen();
     }
 
     <T extends Letters.Letter> T addressed(final T letter, final String to) {
--- a/src/main/java/yewjunction/loom/Line.java
+++ b/src/main/java/yewjunction/loom/Line.java
@@ -1,33 +1,22 @@
 package yewjunction.loom;
 
-import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.net.InetSocketAddress;
-import java.net.StandardSocketOptions;
-import java.nio.ByteBuffer;
-import java.nio.channels.SelectionKey;
-import java.nio.channels.ServerSocketChannel;
-import java.nio.channels.SocketChannel;
-import java.util.Arrays;
+/** One client's connection, as its owner sees it. */
+public interface Line {
+    /** Where to write; flushed at the end of the turn. */
+    Outbox out();
+
+    /** Bytes that wait to be written. */
+    int waiting();
+
+    /** Closes once what waits is written. */
+    void closeSoon();
 
-import static yewjunction.base.Limits.BACKLOG;
-import static yewjunction.base.Limits.CLIENT_BUFFER_BYTES;
+    void close();
 
-/** One client's connection: bytes in to its owner, bytes out gathered per turn. */
-public final class Line implements Loom.Taker {
-    private final Loom loom;
-    private final SocketChannel channel;
-    private final SelectionKey key;
-    private final Outbox outbox = new Outbox(CLIENT_BUFFER_BYTES);
-    private Owner owner;
-    private byte[] input;
-    private int filled;
-    private boolean flushing;
-    private boolean closed;
-    private boolean closing;
+    boolean open();
 
     /** Reads what came. */
-    public interface Owner {
+    interface Owner {
         /** Consumes whole messages from the start; answers how many bytes it took. */
         int take(byte[] bytes, int length);
 
@@ -35,129 +24,7 @@
     }
 
     /** Makes an owner for each new line. */
-    public interface Greeter {
+    interface Greeter {
         Owner greet(Line line);
     }
-
-    private Line(final Loom loom, final SocketChannel channel) throws IOException {
-        this.loom = loom;
-        this.channel = channel;
-        channel.configureBlocking(false);
-        channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
-        key = channel.register(loom.selector(), SelectionKey.OP_READ, this);
-    }
-
-    public static void listen(final Loom loom, final InetSocketAddress own, final Greeter greeter) {
-        try {
-            final ServerSocketChannel server = ServerSocketChannel.open();
-            server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
-            server.bind(own, BACKLOG);
-            server.configureBlocking(false);
-            server.register(loom.selector(), SelectionKey.OP_ACCEPT, (Loom.Taker) key -> {
-                SocketChannel channel;
-                while ((channel = server.accept()) != null) {
-                    final Line line = new Line(loom, channel);
-                    line.owner = greeter.greet(line);
-                }
-            });
-        } catch (final IOException defect) {
-            throw new UncheckedIOException("cannot listen for clients on " + own, defect);
-        }
-    }
-
-    @Override
-    public void ready(final SelectionKey readyKey) {
-        try {
-            if (readyKey.isReadable()) {
-                read();
-            }
-            if (!closed && readyKey.isValid() && readyKey.isWritable()) {
-                flush();
-            }
-        } catch (final IOException defect) {
-            close();
-        }
-    }
-
-    private void read() throws IOException {
-        if (input == null) {
-            input = new byte[CLIENT_BUFFER_BYTES];
-        } else if (filled == input.length) {
-            input = Arrays.copyOf(input, input.length * 2);
-        }
-        final int count = channel.read(ByteBuffer.wrap(input, filled, input.length - filled));
-        if (count < 0) {
-            close();
-            return;
-        }
-        filled += count;
-        final int taken = closing ? filled : owner.take(input, filled);
-        filled -= taken;
-        if (closed) {
-            return;
-        }
-        if (filled == 0) {
-            // An idle line holds no buffer: there are many lines, and memory is priced.
-            input = null;
-        } else if (taken > 0) {
-            System.arraycopy(input, taken, input, 0, filled);
-        }
-    }
-
-    /** Where to write; flushed at the end of the turn. */
-    public Outbox out() {
-        if (!flushing && !closed) {
-            flushing = true;
-            loom.flushLater(this::flush);
-        }
-        return outbox;
-    }
-
-    public int waiting() {
-        return outbox.size();
-    }
-
-    private void flush() {
-        flushing = false;
-        if (closed) {
-            return;
-        }
-        try {
-            final boolean done = outbox.write(channel);
-            if (done && closing) {
-                close();
-                return;
-            }
-            final int wanted = done ? SelectionKey.OP_READ : SelectionKey.OP_READ | SelectionKey.OP_WRITE;
-            if (key.interestOps() != wanted) {
-                key.interestOps(wanted);
-            }
-        } catch (final IOException defect) {
-            close();
-        }
-    }
-
-    /** Closes once what waits is written. */
-    public void closeSoon() {
-        closing = true;
-        out();
-    }
-
-    public boolean open() {
-        return !closed;
-    }
-
-    public void close() {
-        if (closed) {
-            return;
-        }
-        closed = true;
-        key.cancel();
-        try {
-            channel.close();
-        } catch (final IOException ignored) {
-            // Nothing is owed to a line that is being given up.
-        }
-        owner.closed();
-    }
 }
--- /dev/null
+++ b/src/main/java/yewjunction/node/CruxNode.java
@@ -0,0 +1,46 @@
+package yewjunction.node;
+
+import yewjunction.base.Post;
+import yewjunction.base.Pulse;
+import yewjunction.charter.Crux;
+import yewjunction.charter.Desk;
+import yewjunction.ledger.Clerk;
+import yewjunction.ledger.Disk;
+import yewjunction.roster.Roster;
+import yewjunction.settings.Settings;
+
+/** The control plane's duty on one machine. */
+public final class CruxNode implements Node {
+    private final Crux crux;
+    private final Roster roster;
+    private final Settings settings;
+    private final long life;
+
+    public CruxNode(final Pulse pulse, final Post post, final Disk disk, final Clerk clerk, final Roster roster,
+            final Settings settings, final long life) {
+        this.roster = roster;
+        this.settings = settings;
+        this.life = life;
+        // Two copies must outlast the losses to be borne: so many voters make a majority without them.
+        crux = new Crux(pulse, post, disk, clerk, roster, settings.address(Settings.CRUX_OFFSET),
+            2 * Math.max(1, settings.lossesBorne()) + 1);
+    }
+
+    @Override
+    public void start() {
+        crux.start(settings.founding(), settings.coreAddresses(), Long.toHexString(life));
+        roster.ready(true);
+    }
+
+    public Desk desk() {
+        return crux.desk();
+    }
+
+    @Override
+    public void stop(final Runnable ended) {
+        crux.ledger().handOver(() -> {
+            crux.ledger().stop();
+            ended.run();
+        });
+    }
+}
--- a/src/main/java/yewjunction/app/EdgeProcess.java
+++ b/src/main/java/yewjunction/node/EdgeNode.java
@@ -1,10 +1,12 @@
-package yewjunction.app;
+package yewjunction.node;
 
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import yewjunction.base.Event;
+import yewjunction.base.Post;
+import yewjunction.base.Pulse;
 import yewjunction.charter.Charter;
 import yewjunction.charter.Facts;
 import yewjunction.charter.Tenure;
@@ -12,8 +14,8 @@
 import yewjunction.dock.Drain;
 import yewjunction.herald.Envoy;
 import yewjunction.herald.Letters.Cloth;
-import yewjunction.loom.Addresses;
 import yewjunction.loom.Line;
+import yewjunction.roster.Roster;
 import yewjunction.roster.Sibling;
 import yewjunction.settings.Settings;
 import yewjunction.weave.Weave;
@@ -23,7 +25,13 @@
 import static yewjunction.base.Limits.HOMELESS_MS;
 
 /** An edge machine's data plane: holds clients' links and one replica of the subscription set. */
-final class EdgeProcess extends Process implements Tenure.Watcher {
+public final class EdgeNode implements Node, Tenure.Watcher {
+    private final Pulse pulse;
+    private final Post post;
+    private final Roster roster;
+    private final Settings settings;
+    private final String address;
+    private final long life;
     private final Weave weave = new Weave();
     private final Tenure tenure;
     private final Dock dock;
@@ -33,27 +41,30 @@
     private long spreadChanges = -1;
     private long rounds;
 
-    EdgeProcess(final Path file, final Settings settings) {
-        super(file, settings, "tide", Settings.TIDE_OFFSET);
-        tenure = new Tenure(loom, wires, this::cruxes, this)
+    public EdgeNode(final Pulse pulse, final Post post, final Roster roster, final Settings settings, final long life) {
+        this.pulse = pulse;
+        this.post = post;
+        this.roster = roster;
+        this.settings = settings;
+        this.life = life;
+        address = settings.address(Settings.TIDE_OFFSET);
+        tenure = new Tenure(pulse, post, () -> Node.cruxes(roster, settings), this)
             .named(address, settings.node(), settings.zone(), "tide", life);
-        dock = new Dock(loom, wires, tenure, weave, settings.pingS());
-        envoy = new Envoy(loom, wires, weave, settings.node(), () -> addresses("vault"), dock);
+        dock = new Dock(pulse, post, tenure, weave, settings.pingS());
+        envoy = new Envoy(pulse, post, weave, settings.node(), () -> Node.addresses(roster, "vault"), dock);
         dock.envoy(envoy);
         dock.live(this::live);
-        wires.on(Cloth.class, (link, cloth) -> {
+        post.on(Cloth.class, (link, cloth) -> {
             weave.receive(cloth.state);
             dock.setChanged();
         });
     }
 
     @Override
-    void start() {
+    public void start() {
         tenure.start();
-        Line.listen(loom, Addresses.parse(settings.front()), dock::greet);
-        Web.readiness(settings.ready(), () -> ready);
-        loom.every(100, this::look);
-        loom.every(GOSSIP_MS, this::gossip);
+        pulse.every(100, this::look);
+        pulse.every(GOSSIP_MS, this::gossip);
     }
 
     private boolean live(final long replica) {
@@ -67,7 +78,7 @@
             && !envoy.leader().isEmpty();
         if (able != ready) {
             ready = able;
-            (able ? yewjunction.base.Event.READY : yewjunction.base.Event.NOT_READY).info(settings.node());
+            (able ? Event.READY : Event.NOT_READY).info(settings.node());
             roster.ready(able);
         }
     }
@@ -88,22 +99,31 @@
         final Cloth cloth = new Cloth();
         cloth.state = weave.state();
         if (!near.isEmpty()) {
-            wires.dial(near.get(loom.luck().nextInt(near.size())).address).send(cloth);
+            post.dial(near.get(pulse.luck().nextInt(near.size())).address).send(cloth);
         }
         // Cross-zone bytes are dear: one edge a zone speaks for it.
         final boolean bridge = near.stream().allMatch(sibling -> sibling.address.compareTo(address) > 0);
         if (bridge && rounds % GOSSIP_ACROSS_EVERY == 0) {
             final Set<String> zones = new HashSet<>();
-            java.util.Collections.shuffle(far, loom.luck());
-            far.stream().filter(sibling -> zones.add(sibling.zone)).forEach(sibling -> wires.dial(sibling.address).send(cloth));
+            java.util.Collections.shuffle(far, pulse.luck());
+            far.stream().filter(sibling -> zones.add(sibling.zone)).forEach(sibling -> post.dial(sibling.address).send(cloth));
         }
     }
 
+    public Line.Owner greet(final Line line) {
+        return dock.greet(line);
+    }
+
+    /** Whether the platform may send clients here; asked from another thread. */
+    public boolean ready() {
+        return ready;
+    }
+
     @Override
-    void stop() {
+    public void stop(final Runnable ended) {
         draining = true;
         look();
-        new Drain(loom, dock, roster, this::end).start();
+        new Drain(pulse, dock, roster, ended).start();
     }
 
     @Override
--- a/src/main/java/yewjunction/app/VaultProcess.java
+++ b/src/main/java/yewjunction/node/VaultNode.java
@@ -1,15 +1,18 @@
-package yewjunction.app;
+package yewjunction.node;
 
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import yewjunction.base.Post;
+import yewjunction.base.Pulse;
 import yewjunction.charter.Charter;
 import yewjunction.charter.Facts;
 import yewjunction.charter.Tenure;
 import yewjunction.herald.Home;
+import yewjunction.ledger.Clerk;
+import yewjunction.ledger.Disk;
 import yewjunction.ledger.Ledger;
-import yewjunction.ledger.LocalDisk;
+import yewjunction.roster.Roster;
 import yewjunction.settings.Settings;
 import yewjunction.vault.Cellar;
 import yewjunction.vault.Gate;
@@ -19,7 +22,7 @@
 import static yewjunction.base.Limits.ENROL_MS;
 
 /** A store machine's data plane: one member of the vaults' ledger, and home to its zone's edges. */
-final class VaultProcess extends Process implements Cellar.Watcher, Tenure.Watcher {
+public final class VaultNode implements Node, Cellar.Watcher, Tenure.Watcher {
     /** Group number of the vaults' ledger; a field everywhere, so that there can be more. */
     private static final int GROUP = 1;
     private final Cellar cellar;
@@ -29,19 +32,30 @@
     private final Tenure tenure;
     private final Weave weave = new Weave();
 
-    VaultProcess(final Path file, final Settings settings) {
-        super(file, settings, "vault", Settings.TIDE_OFFSET);
-        cellar = new Cellar(loom, this);
-        ledger = new Ledger(GROUP, loom, wires, new LocalDisk(Path.of(settings.dataFolder())), new Worker(loom), "messages", cellar);
+    private final Pulse pulse;
+    private final Roster roster;
+    private final Settings settings;
+    private final String address;
+    private final long life;
+
+    public VaultNode(final Pulse pulse, final Post post, final Disk disk, final Clerk clerk, final Roster roster,
+            final Settings settings, final long life) {
+        this.pulse = pulse;
+        this.roster = roster;
+        this.settings = settings;
+        this.life = life;
+        address = settings.address(Settings.TIDE_OFFSET);
+        cellar = new Cellar(pulse, this);
+        ledger = new Ledger(GROUP, pulse, post, disk, clerk, "messages", cellar);
         ledger.listen();
-        gate = new Gate(loom, wires, ledger, cellar);
-        home = new Home(loom, wires, ledger, cellar, weave);
-        tenure = new Tenure(loom, wires, this::cruxes, this)
+        gate = new Gate(pulse, post, ledger, cellar);
+        home = new Home(pulse, post, ledger, cellar, weave);
+        tenure = new Tenure(pulse, post, () -> Node.cruxes(roster, settings), this)
             .named(address, settings.node(), settings.zone(), "vault", life);
     }
 
     @Override
-    void start() {
+    public void start() {
         if (ledger.identity() == null) {
             ledger.name(address + "#" + Long.toHexString(life));
         }
@@ -49,7 +63,7 @@
         roster.ready(true);
         tenure.identity(ledger.identity());
         tenure.start();
-        loom.every(ENROL_MS, this::settleDuties);
+        pulse.every(ENROL_MS, this::settleDuties);
     }
 
     /** Joins where a place is free, and empties what the core wants emptied. */
@@ -57,7 +71,7 @@
         final List<String> voters = ledger.voters();
         if (!voters.contains(ledger.identity()) && !tenure.facts().vaults().isEmpty()) {
             final boolean wanted = wantsVote(voters);
-            addresses("vault").forEach(sibling -> ledger.join(sibling, wanted));
+            Node.addresses(roster, "vault").forEach(sibling -> ledger.join(sibling, wanted));
         }
         if (ledger.leads()) {
             emptyRetiring(voters);
@@ -98,12 +112,12 @@
     }
 
     @Override
-    void stop() {
+    public void stop(final Runnable ended) {
         // Edges leave first; the lead goes to a sibling that holds everything.
         home.close();
         ledger.handOver(() -> {
             ledger.stop();
-            end();
+            ended.run();
         });
     }
 
--- a/src/main/java/yewjunction/roster/Roster.java
+++ b/src/main/java/yewjunction/roster/Roster.java
@@ -1,6 +1,5 @@
 package yewjunction.roster;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
@@ -10,24 +9,17 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.BiConsumer;
-import java.util.function.Consumer;
 import yewjunction.base.Event;
 import yewjunction.base.Pulse;
 import yewjunction.roster.Letters.Crew;
-import yewjunction.roster.Letters.Detour;
 import yewjunction.roster.Letters.Echo;
 import yewjunction.roster.Letters.Hail;
 import yewjunction.roster.Letters.Letter;
-import yewjunction.roster.Letters.Probe;
 
 import static yewjunction.base.Limits.GONE_MS;
 import static yewjunction.base.Limits.JOIN_MS;
 import static yewjunction.base.Limits.NEWS_PER_PROBE;
 import static yewjunction.base.Limits.NEWS_TIMES;
-import static yewjunction.base.Limits.PROBE_ACROSS_EVERY;
-import static yewjunction.base.Limits.PROBE_ANSWER_MS;
-import static yewjunction.base.Limits.PROBE_HELPERS;
-import static yewjunction.base.Limits.PROBE_MS;
 import static yewjunction.base.Limits.REJOIN_MS;
 import static yewjunction.base.Limits.SUSPECT_MS;
 
@@ -40,12 +32,9 @@
     private final Map<String, Sibling> siblings = new HashMap<>();
     private final Map<String, Long> changedMs = new HashMap<>();
     private final Map<String, Integer> newsLeft = new LinkedHashMap<>();
-    private final ArrayDeque<String> nearTurn = new ArrayDeque<>();
-    private final ArrayDeque<String> farTurn = new ArrayDeque<>();
-    private final Map<Long, Consumer<Sibling>> awaited = new HashMap<>();
+    private final Prober prober;
     private final List<Runnable> watchers = new ArrayList<>();
     private List<String> seeds = List.of();
-    private long probeNumber;
     private long hailedMs;
     private boolean left;
 
@@ -53,19 +42,24 @@
         this.pulse = pulse;
         this.self = self;
         this.sender = sender;
+        prober = new Prober(pulse, this);
     }
 
     /** Seeds are sibling addresses of crux processes; some may be stale. */
     public void start(final List<String> firstSeeds) {
         seeds = firstSeeds;
         hail();
-        pulse.after(pulse.luck().nextInt((int) PROBE_MS), this::probeNext);
+        prober.start();
     }
 
     public void seeds(final List<String> newSeeds) {
         seeds = newSeeds;
     }
 
+    boolean left() {
+        return left;
+    }
+
     public void watch(final Runnable watcher) {
         watchers.add(watcher);
     }
@@ -138,77 +132,7 @@
         }
     }
 
-    private void probeNext() {
-        if (left) {
-            return;
-        }
-        pulse.after(PROBE_MS, this::probeNext);
-        sweep();
-        if (pulse.nowMs() - hailedMs > REJOIN_MS) {
-            hail();
-        }
-        final String target = nextTarget();
-        if (target == null) {
-            return;
-        }
-        final long number = ++probeNumber;
-        final boolean[] answered = new boolean[1];
-        awaited.put(number, sibling -> answered[0] = true);
-        final Probe probe = new Probe();
-        probe.number = number;
-        send(target, probe);
-        pulse.after(PROBE_ANSWER_MS, () -> {
-            if (!answered[0]) {
-                askOthers(target, number);
-            }
-        });
-        pulse.after(PROBE_MS - 50, () -> {
-            awaited.remove(number);
-            if (!answered[0]) {
-                suspect(target);
-            }
-        });
-    }
-
-    private String nextTarget() {
-        final boolean across = probeNumber % PROBE_ACROSS_EVERY == PROBE_ACROSS_EVERY - 1;
-        String target = nextOf(across ? farTurn : nearTurn, across);
-        // A zone with nobody else in it looks across every time.
-        return target != null ? target : nextOf(across ? nearTurn : farTurn, !across);
-    }
-
-    private String nextOf(final ArrayDeque<String> turn, final boolean across) {
-        if (turn.isEmpty()) {
-            final List<String> addresses = new ArrayList<>();
-            for (final Sibling sibling : siblings.values()) {
-                if (sibling.up() && sibling.zone.equals(self.zone) != across) {
-                    addresses.add(sibling.address);
-                }
-            }
-            Collections.sort(addresses);
-            Collections.shuffle(addresses, pulse.luck());
-            turn.addAll(addresses);
-        }
-        return turn.poll();
-    }
-
-    private void askOthers(final String target, final long number) {
-        final List<String> helpers = new ArrayList<>();
-        for (final Sibling sibling : siblings.values()) {
-            if (sibling.standing == Sibling.UP && sibling.zone.equals(self.zone) && !sibling.address.equals(target)) {
-                helpers.add(sibling.address);
-            }
-        }
-        Collections.shuffle(helpers, pulse.luck());
-        for (int i = 0; i < Math.min(PROBE_HELPERS, helpers.size()); i++) {
-            final Detour detour = new Detour();
-            detour.number = number;
-            detour.target = target;
-            send(helpers.get(i), detour);
-        }
-    }
-
-    private void suspect(final String address) {
+    void suspect(final String address) {
         final Sibling sibling = siblings.get(address);
         if (sibling != null && sibling.standing == Sibling.UP) {
             Event.SIBLING_SUSPECT.info(sibling.node + " " + sibling.duty);
@@ -223,8 +147,11 @@
         watchers.forEach(Runnable::run);
     }
 
-    private void sweep() {
+    void sweep() {
         final long nowMs = pulse.nowMs();
+        if (nowMs - hailedMs > REJOIN_MS) {
+            hail();
+        }
         for (final Iterator<Sibling> each = siblings.values().iterator(); each.hasNext();) {
             final Sibling sibling = each.next();
             final long sinceMs = nowMs - changedMs.getOrDefault(sibling.address, nowMs);
@@ -238,7 +165,7 @@
         }
     }
 
-    private void send(final String address, final Letter letter) {
+    void send(final String address, final Letter letter) {
         letter.self = self.copy();
         for (final String about : List.copyOf(newsLeft.keySet())) {
             if (letter.news.size() >= NEWS_PER_PROBE) {
@@ -262,30 +189,12 @@
         }
         hear(letter.self);
         letter.news.forEach(this::hear);
-        if (letter instanceof Probe probe) {
-            final Echo echo = new Echo();
-            echo.number = probe.number;
-            send(from, echo);
-        } else if (letter instanceof Echo echo) {
-            final Consumer<Sibling> awaiting = awaited.remove(echo.number);
-            if (awaiting != null) {
-                awaiting.accept(letter.self);
-            }
-        } else if (letter instanceof Detour detour) {
-            final long number = ++probeNumber;
-            awaited.put(number, sibling -> {
-                final Echo echo = new Echo();
-                echo.number = detour.number;
-                send(from, echo);
-            });
-            pulse.after(PROBE_MS, () -> awaited.remove(number));
-            final Probe probe = new Probe();
-            probe.number = number;
-            send(detour.target, probe);
-        } else if (letter instanceof Hail) {
+        if (letter instanceof Hail) {
             final Crew crew = new Crew();
             siblings.values().stream().filter(Sibling::up).limit(CREW_MOST).forEach(one -> crew.news.add(one.copy()));
             send(from, crew);
+        } else {
+            prober.take(from, letter);
         }
     }
 
