Ledger: three defects found by simulation

The rewritten file's tail is now bounded in bytes as well: with large entries no rewrite ever got shorter.

--- a/src/main/java/yewjunction/base/Limits.java
+++ b/src/main/java/yewjunction/base/Limits.java
@@ -93,6 +93,8 @@
     public static final long LEDGER_BYTES = 12L << 20;
     /** entries; kept behind a snapshot for siblings that were away a short while. */
     public static final int LEDGER_TAIL_ENTRIES = 2_000;
+    /** bytes; the same in size, a small part of a file's length. */
+    public static final long LEDGER_TAIL_BYTES = 2L << 20;
     /** ms; a leader that stops hands over within this. */
     public static final long HAND_OVER_MS = 700;
     /** entries; a newcomer this close to the end may become a voter. */
--- a/src/main/java/yewjunction/ledger/Course.java
+++ b/src/main/java/yewjunction/ledger/Course.java
@@ -1,5 +1,6 @@
 package yewjunction.ledger;
 
+import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -7,18 +8,25 @@
 import yewjunction.base.Event;
 
 import static yewjunction.base.Limits.LEDGER_BYTES;
+import static yewjunction.base.Limits.LEDGER_TAIL_BYTES;
 import static yewjunction.base.Limits.LEDGER_TAIL_ENTRIES;
 
 /** How far the log is synced, committed and applied here, and who waits for that. */
 final class Course {
     private final Ledger ledger;
     private final Machine machine;
+    private final ArrayDeque<Write> writes = new ArrayDeque<>();
     private final Map<Long, Proposal> proposals = new HashMap<>();
     private boolean rewriting;
+    private long rewrittenBytes;
     private long commit;
     private long applied;
     private long syncedIndex;
-    private long cuts;
+
+    /** Entries on their way to the disk, in the order they will get there. */
+    private static final class Write {
+        long lastIndex;
+    }
 
     private record Proposal(long term, Consumer<Boolean> done) {
     }
@@ -61,15 +69,14 @@
         if (entries.isEmpty()) {
             return;
         }
-        final Entry last = entries.get(entries.size() - 1);
-        final long cutsThen = cuts;
+        final Write write = new Write();
+        write.lastIndex = entries.get(entries.size() - 1).index;
+        writes.add(write);
         ledger.archive.append(entries, () -> {
-            // Only entries that were not cut since may count as synced.
-            if (cutsThen == cuts && ledger.log.termAt(last.index) == last.term) {
-                syncedIndex = Math.max(syncedIndex, last.index);
-                ledger.following().synced();
-                ledger.leading().synced();
-            }
+            writes.remove(write);
+            syncedIndex = Math.max(syncedIndex, write.lastIndex);
+            ledger.following().synced();
+            ledger.leading().synced();
         });
     }
 
@@ -78,13 +85,19 @@
         if (index <= commit) {
             throw new IllegalStateException("cut at " + index + " below commit " + commit);
         }
-        cuts++;
-        syncedIndex = Math.min(syncedIndex, index - 1);
+        forget(index);
         ledger.archive.cutFrom(index);
     }
 
+    /** Entries from there on are no longer this log's; those before stay synced, or on their way to it. */
+    private void forget(final long index) {
+        syncedIndex = Math.min(syncedIndex, index - 1);
+        writes.forEach(write -> write.lastIndex = Math.min(write.lastIndex, index - 1));
+    }
+
     void installed(final long index, final long term, final List<String> voters, final byte[] state, final Runnable after) {
-        cuts++;
+        // What the old log had on disk says nothing about the new one: counted as synced only once it is.
+        forget(1);
         machine.restore(index, state);
         applied = index;
         commit = index;
@@ -121,17 +134,30 @@
     }
 
     private void shorten() {
-        if (rewriting || ledger.archive.bytes() < LEDGER_BYTES) {
+        // A state that is large by itself is not rewritten with every entry: only once the file has doubled.
+        if (rewriting || ledger.archive.bytes() < Math.max(LEDGER_BYTES, 2 * rewrittenBytes)) {
             return;
         }
         rewriting = true;
-        ledger.log.dropTo(Math.max(ledger.log.baseIndex(), applied - LEDGER_TAIL_ENTRIES));
+        ledger.log.dropTo(tailStart());
         ledger.archive.rewrite(applied, machine.snapshot(), () -> {
             rewriting = false;
-            Event.LEDGER_REWRITTEN.info("group " + ledger.group + " bytes " + ledger.archive.bytes());
+            rewrittenBytes = ledger.archive.bytes();
+            Event.LEDGER_REWRITTEN.info("group " + ledger.group + " bytes " + rewrittenBytes);
         });
     }
 
+    /** A tail stays for siblings that were away a short while: so many entries, and not too many bytes. */
+    private long tailStart() {
+        long start = applied;
+        long bytes = 0;
+        while (start > ledger.log.baseIndex() && applied - start < LEDGER_TAIL_ENTRIES && bytes < LEDGER_TAIL_BYTES) {
+            bytes += ledger.log.get(start).data.length;
+            start--;
+        }
+        return start;
+    }
+
     byte[] image() {
         return machine.snapshot();
     }
--- a/src/main/java/yewjunction/ledger/Following.java
+++ b/src/main/java/yewjunction/ledger/Following.java
@@ -137,12 +137,17 @@
     }
 
     void image(final Link link, final Image image) {
-        if (!accepted(image) || image.lastIndex <= ledger.commit()) {
+        if (!accepted(image)) {
             return;
         }
-        waiting.clear();
         final Append asked = new Append();
         asked.from = image.from;
+        // What is committed here the leader has too: said so, or it would send the same again and again.
+        if (image.lastIndex <= ledger.commit()) {
+            answer(link, asked, true, Math.min(ledger.commit(), ledger.course.syncedIndex()));
+            return;
+        }
+        waiting.clear();
         ledger.course.installed(image.lastIndex, image.lastTerm, image.voters, image.state,
             () -> answer(link, asked, true, image.lastIndex));
     }
--- a/src/main/java/yewjunction/ledger/Leading.java
+++ b/src/main/java/yewjunction/ledger/Leading.java
@@ -133,13 +133,11 @@
         }
     }
 
+    /** What was lost with a link shows at the next beat: it names an entry that the sibling lacks, and is denied. */
     private void send(final String identity, final Standing standing) {
         final long nowMs = ledger.pulse.nowMs();
         final Log log = ledger.log;
         final boolean silent = nowMs - standing.heardMs > APPEND_AGAIN_MS;
-        if (silent || standing.match < standing.next - 1 && nowMs - standing.sentMs > APPEND_AGAIN_MS) {
-            standing.next = standing.match + 1;
-        }
         // A newcomer with nothing also needs to learn who votes, which only a snapshot tells.
         if (standing.next <= log.baseIndex() || standing.next == 1 && !ledger.voters().contains(identity)) {
             sendImage(identity, standing, nowMs);
--- a/src/main/java/yewjunction/loom/Outbox.java
+++ b/src/main/java/yewjunction/loom/Outbox.java
@@ -47,6 +47,17 @@
         return end - start;
     }
 
+    /** Takes all that waits, for lines that are no sockets. */
+    public byte[] take() {
+        final byte[] taken = new byte[size()];
+        if (taken.length > 0) {
+            buffer.getBytes(start, taken);
+        }
+        start = 0;
+        end = 0;
+        return taken;
+    }
+
     /** True when all is written. */
     public boolean write(final SocketChannel channel) throws IOException {
         if (size() > 0) {
--- /dev/null
+++ b/src/test/java/yewjunction/sim/Host.java
@@ -0,0 +1,142 @@
+package yewjunction.sim;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import yewjunction.base.Codec;
+import yewjunction.base.Pulse;
+import yewjunction.ledger.Clerk;
+
+/** One process's place: it may be up, killed or dark; its disk outlives it unless it is wiped. */
+public final class Host implements Pulse {
+    public final World world;
+    public final String address;
+    public SimDisk disk = new SimDisk();
+    public long syncMicros = 2_000;
+    SimPost post;
+    private java.util.function.BiConsumer<String, Object> datagrams = (from, letter) -> { };
+    private boolean up;
+    private boolean dark;
+    private int life;
+
+    Host(final World world, final String address) {
+        this.world = world;
+        this.address = address;
+    }
+
+    /** A process starts here. */
+    public SimPost boot() {
+        if (up) {
+            throw new IllegalStateException(address + " is up already");
+        }
+        up = true;
+        dark = false;
+        life++;
+        post = new SimPost(this);
+        return post;
+    }
+
+    public boolean up() {
+        return up;
+    }
+
+    boolean dark() {
+        return dark;
+    }
+
+    public int life() {
+        return life;
+    }
+
+    /** The process dies; its machine answers with resets. */
+    public void kill() {
+        up = false;
+        life++;
+        if (post != null) {
+            post.drop(true);
+        }
+    }
+
+    /** The machine loses power: nothing answers, and unsynced writes are at the mercy of luck. */
+    public void powerOff() {
+        up = false;
+        dark = true;
+        life++;
+        if (post != null) {
+            post.drop(false);
+        }
+        disk.powerLost(world.luck);
+    }
+
+    public void wipe() {
+        disk = new SimDisk();
+    }
+
+    void guarded(final int ofLife, final Runnable task) {
+        if (up && life == ofLife) {
+            task.run();
+        }
+    }
+
+    @Override
+    public long nowMs() {
+        return world.nowMs();
+    }
+
+    @Override
+    public void after(final long delayMs, final Runnable task) {
+        final int ofLife = life;
+        world.after(Math.max(1, delayMs), () -> guarded(ofLife, task));
+    }
+
+    @Override
+    public void post(final Runnable command) {
+        final int ofLife = life;
+        world.afterMicros(10, () -> guarded(ofLife, command));
+    }
+
+    @Override
+    public Random luck() {
+        return world.luck;
+    }
+
+    /** Blocking work takes the disk's time; a process that dies meanwhile may or may not have done it. */
+    public Clerk clerk() {
+        final int ofLife = life;
+        final SimDisk ofDisk = disk;
+        final List<Runnable> waiting = new ArrayList<>();
+        return (blocking, afterwards) -> {
+            waiting.add(() -> world.afterMicros(syncMicros, () -> guarded(ofLife, () -> {
+                if (ofDisk == disk) {
+                    blocking.run();
+                }
+                afterwards.run();
+                waiting.remove(0);
+                if (!waiting.isEmpty()) {
+                    waiting.get(0).run();
+                }
+            })));
+            if (waiting.size() == 1) {
+                waiting.get(0).run();
+            }
+        };
+    }
+
+    public void onDatagram(final java.util.function.BiConsumer<String, Object> handler) {
+        datagrams = handler;
+    }
+
+    public void datagram(final String to, final Object letter) {
+        final Codec codec = post.codec;
+        final byte[] bytes = codec.encode(letter);
+        final Host target = world.known(to);
+        if (target == null || world.luck.nextDouble() < world.loss || world.parted(address, to)) {
+            return;
+        }
+        world.afterMicros(400 + world.luck.nextInt(1_000), () -> {
+            if (target.up) {
+                target.datagrams.accept(address, codec.decode(bytes, 0, bytes.length));
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/test/java/yewjunction/sim/SimDisk.java
@@ -0,0 +1,88 @@
+package yewjunction.sim;
+
+import java.io.ByteArrayOutputStream;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import yewjunction.ledger.Disk;
+
+/** Files with what was synced and what was only written: at a loss of power the latter is present, missing or torn. */
+public final class SimDisk implements Disk {
+    private final Map<String, byte[]> synced = new HashMap<>();
+    private final Map<String, List<byte[]>> written = new HashMap<>();
+
+    @Override
+    public byte[] read(final String name) {
+        final byte[] base = synced.get(name);
+        final List<byte[]> pieces = written.getOrDefault(name, List.of());
+        if (base == null && pieces.isEmpty()) {
+            return null;
+        }
+        final ByteArrayOutputStream all = new ByteArrayOutputStream();
+        all.writeBytes(base == null ? new byte[0] : base);
+        pieces.forEach(all::writeBytes);
+        return all.toByteArray();
+    }
+
+    @Override
+    public void append(final String name, final byte[] bytes) {
+        written.computeIfAbsent(name, key -> new ArrayList<>()).add(bytes);
+    }
+
+    @Override
+    public void cut(final String name, final long length) {
+        final byte[] all = read(name);
+        written.remove(name);
+        synced.put(name, Arrays.copyOf(all, (int) length));
+    }
+
+    @Override
+    public void sync(final String name) {
+        final byte[] all = read(name);
+        if (all != null) {
+            synced.put(name, all);
+            written.remove(name);
+        }
+    }
+
+    @Override
+    public void replace(final String name, final byte[] bytes) {
+        written.remove(name);
+        synced.put(name, bytes);
+    }
+
+    /** Damages a byte of what was synced, as a bad disk would. */
+    public void damage(final String name, final int at) {
+        synced.get(name)[at] ^= 0x55;
+    }
+
+    void powerLost(final Random luck) {
+        final boolean allGone = luck.nextInt(4) == 0;
+        written.forEach((name, pieces) -> {
+            final ByteArrayOutputStream all = new ByteArrayOutputStream();
+            all.writeBytes(synced.getOrDefault(name, new byte[0]));
+            final ByteArrayOutputStream tail = new ByteArrayOutputStream();
+            boolean present = false;
+            for (final byte[] piece : pieces) {
+                final int fate = allGone ? 1 : luck.nextInt(3);
+                // A missing write before a present one leaves a hole of zeros.
+                final byte[] kept = fate == 0 ? piece : new byte[piece.length];
+                if (fate == 2) {
+                    System.arraycopy(piece, 0, kept, 0, luck.nextInt(piece.length + 1));
+                }
+                present |= fate != 1;
+                tail.writeBytes(kept);
+            }
+            if (present) {
+                all.writeBytes(tail.toByteArray());
+            }
+            if (all.size() > 0) {
+                synced.put(name, all.toByteArray());
+            }
+        });
+        written.clear();
+    }
+}
--- /dev/null
+++ b/src/test/java/yewjunction/sim/SimPost.java
@@ -0,0 +1,196 @@
+package yewjunction.sim;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import yewjunction.base.Codec;
+import yewjunction.base.Link;
+import yewjunction.base.Post;
+
+import static yewjunction.base.Limits.DIAL_MS;
+import static yewjunction.base.Limits.LINK_SILENCE_MS;
+
+/** Links over the simulated network; every letter is encoded and decoded as on the wire. */
+public final class SimPost implements Post {
+    final Codec codec = new Codec();
+    private final Host host;
+    private final int life;
+    private final Map<String, End> dialled = new HashMap<>();
+    private final List<End> ends = new ArrayList<>();
+    private final Map<Class<?>, BiConsumer<Link, Object>> handlers = new HashMap<>();
+    private final List<Consumer<Link>> closers = new ArrayList<>();
+
+    SimPost(final Host host) {
+        this.host = host;
+        life = host.life();
+        yewjunction.ledger.Letters.know(codec);
+        yewjunction.roster.Letters.know(codec);
+        yewjunction.charter.Letters.know(codec);
+        yewjunction.vault.Letters.know(codec);
+        yewjunction.herald.Letters.know(codec);
+    }
+
+    /** One side of a link. */
+    private static final class End implements Link {
+        private final SimPost owner;
+        private final String remote;
+        private End far;
+        private boolean open = true;
+        private boolean connected;
+        private final List<byte[]> early = new ArrayList<>();
+        private long lastArrivalMicros;
+        private Object tag;
+
+        End(final SimPost owner, final String remote) {
+            this.owner = owner;
+            this.remote = remote;
+            owner.ends.add(this);
+        }
+
+        @Override
+        public boolean send(final Object letter) {
+            if (!open) {
+                return false;
+            }
+            final byte[] bytes = owner.codec.encode(letter);
+            if (connected) {
+                carry(bytes);
+            } else {
+                early.add(bytes);
+            }
+            return true;
+        }
+
+        private void carry(final byte[] bytes) {
+            final World world = owner.host.world;
+            final End target = far;
+            if (world.parted(owner.host.address, target.owner.host.address)) {
+                // Held up by the cut; the silence ends the link on both sides.
+                world.after(LINK_SILENCE_MS, () -> {
+                    close();
+                    target.close();
+                });
+                return;
+            }
+            lastArrivalMicros = Math.max(lastArrivalMicros + 1, world.nowMicros() + world.delayMicros());
+            world.afterMicros(lastArrivalMicros - world.nowMicros(), () -> target.owner.host.guarded(target.owner.life, () -> {
+                if (target.open) {
+                    target.owner.take(target, bytes);
+                }
+            }));
+        }
+
+        void connect(final Host targetHost) {
+            final World world = owner.host.world;
+            world.after(DIAL_MS, () -> {
+                if (!connected) {
+                    close();
+                }
+            });
+            world.afterMicros(2 * world.delayMicros(), () -> {
+                if (!open || targetHost == null || targetHost.dark() || world.parted(owner.host.address, remote)) {
+                    return;
+                }
+                if (!targetHost.up()) {
+                    close();
+                    return;
+                }
+                far = new End(targetHost.post, owner.host.address);
+                far.far = this;
+                far.connected = true;
+                connected = true;
+                early.forEach(this::carry);
+                early.clear();
+            });
+        }
+
+        @Override
+        public void close() {
+            if (!open) {
+                return;
+            }
+            end();
+            if (far != null) {
+                final End target = far;
+                owner.host.world.afterMicros(owner.host.world.delayMicros(), target::end);
+            }
+        }
+
+        private void end() {
+            if (open) {
+                open = false;
+                owner.ends.remove(this);
+                owner.dialled.remove(remote, this);
+                owner.host.world.afterMicros(5, () -> owner.host.guarded(owner.life,
+                    () -> owner.closers.forEach(closer -> closer.accept(this))));
+            }
+        }
+
+        @Override
+        public boolean open() {
+            return open;
+        }
+
+        @Override
+        public String remote() {
+            return remote;
+        }
+
+        @Override
+        public Object tag() {
+            return tag;
+        }
+
+        @Override
+        public void tag(final Object value) {
+            tag = value;
+        }
+    }
+
+    @Override
+    public Link dial(final String address) {
+        End end = dialled.get(address);
+        if (end == null || !end.open) {
+            end = new End(this, address);
+            dialled.put(address, end);
+            end.connect(host.world.known(address));
+        }
+        return end;
+    }
+
+    @Override
+    public <T> void on(final Class<T> kind, final BiConsumer<Link, T> handler) {
+        handlers.put(kind, (link, letter) -> handler.accept(link, kind.cast(letter)));
+    }
+
+    @Override
+    public void onClose(final Consumer<Link> handler) {
+        closers.add(handler);
+    }
+
+    private void take(final End end, final byte[] bytes) {
+        final Object letter = codec.decode(bytes, 0, bytes.length);
+        final BiConsumer<Link, Object> handler = handlers.get(letter.getClass());
+        if (handler != null) {
+            handler.accept(end, letter);
+        }
+    }
+
+    /** All links end: with resets when the machine still answers, else only once the far side notices the silence. */
+    void drop(final boolean resets) {
+        for (final End end : List.copyOf(ends)) {
+            end.open = false;
+            final End far = end.far;
+            if (far != null && resets) {
+                host.world.afterMicros(host.world.delayMicros(), far::end);
+            } else if (far != null) {
+                host.world.after(LINK_SILENCE_MS, far::end);
+            }
+        }
+        ends.clear();
+        dialled.clear();
+    }
+}
--- /dev/null
+++ b/src/test/java/yewjunction/sim/World.java
@@ -0,0 +1,123 @@
+package yewjunction.sim;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.BooleanSupplier;
+
+/** Simulated time, machines and network; one seed drives all of it. */
+public final class World {
+    public final Random luck;
+    private final PriorityQueue<Happening> queue = new PriorityQueue<>();
+    private final Map<String, Host> hosts = new TreeMap<>();
+    private final Set<String> cuts = new HashSet<>();
+    private long nowMicros;
+    private long order;
+    /** Share of datagrams lost, and of TCP pieces that need to be sent again. */
+    public double loss = 0.01;
+
+    private record Happening(long atMicros, long order, Runnable task) implements Comparable<Happening> {
+        @Override
+        public int compareTo(final Happening other) {
+            final int byTime = Long.compare(atMicros, other.atMicros);
+            return byTime != 0 ? byTime : Long.compare(order, other.order);
+        }
+    }
+
+    public World(final long seed) {
+        luck = new Random(seed);
+    }
+
+    public long nowMs() {
+        return nowMicros / 1_000;
+    }
+
+    long nowMicros() {
+        return nowMicros;
+    }
+
+    public void afterMicros(final long delayMicros, final Runnable task) {
+        queue.add(new Happening(nowMicros + Math.max(0, delayMicros), order++, task));
+    }
+
+    public void after(final long delayMs, final Runnable task) {
+        afterMicros(delayMs * 1_000, task);
+    }
+
+    public void every(final long periodMs, final Runnable task) {
+        after(periodMs, () -> {
+            every(periodMs, task);
+            task.run();
+        });
+    }
+
+    public Host host(final String address) {
+        return hosts.computeIfAbsent(address, key -> new Host(this, key));
+    }
+
+    Host known(final String address) {
+        return hosts.get(address);
+    }
+
+    public List<Host> hosts() {
+        return new ArrayList<>(hosts.values());
+    }
+
+    public void runFor(final long ms) {
+        final long endMicros = nowMicros + ms * 1_000;
+        while (!queue.isEmpty() && queue.peek().atMicros <= endMicros) {
+            step();
+        }
+        nowMicros = endMicros;
+    }
+
+    /** Runs until it holds; false when the time is over. */
+    public boolean runUntil(final BooleanSupplier holds, final long mostMs) {
+        final long endMicros = nowMicros + mostMs * 1_000;
+        while (!holds.getAsBoolean()) {
+            if (queue.isEmpty() || queue.peek().atMicros > endMicros) {
+                return false;
+            }
+            step();
+        }
+        return true;
+    }
+
+    private void step() {
+        final Happening next = queue.poll();
+        nowMicros = next.atMicros;
+        next.task.run();
+    }
+
+    private static String pair(final String one, final String other) {
+        final String a = machine(one);
+        final String b = machine(other);
+        return a.compareTo(b) < 0 ? a + " " + b : b + " " + a;
+    }
+
+    static String machine(final String address) {
+        return address.substring(0, address.indexOf(':'));
+    }
+
+    public void cut(final String one, final String other) {
+        cuts.add(pair(one, other));
+    }
+
+    public void join() {
+        cuts.clear();
+    }
+
+    boolean parted(final String one, final String other) {
+        return cuts.contains(pair(one, other));
+    }
+
+    /** One way, with a piece that is lost sent again after a while. */
+    long delayMicros() {
+        return 400 + luck.nextInt(1_200) + (luck.nextDouble() < loss ? 210_000 : 0);
+    }
+}
