--- a/src/main/java/yewjunction/base/Limits.java
+++ b/src/main/java/yewjunction/base/Limits.java
@@ -131,6 +131,8 @@
     public static final long NUMBER_MS = 60_000;
     /** ms; a message that was under way from its edge longer than this is not admitted: its denial may be forgotten. */
     public static final long UNDER_WAY_MS = 8_000;
+    /** share of a quota's excess and slack that a bucket uses; the rest covers changes of the leader. */
+    public static final double QUOTA_SHARE = 0.45;
     /** ms; pace of dropping old messages and numbers. */
     public static final long VAULT_SWEEP_MS = 1_000;
     /** ms; pace of a vault's call to crux. */
--- a/src/main/java/yewjunction/node/VaultNode.java
+++ b/src/main/java/yewjunction/node/VaultNode.java
@@ -45,7 +45,7 @@
         this.settings = settings;
         this.life = life;
         address = settings.address(Settings.TIDE_OFFSET);
-        cellar = new Cellar(pulse, this);
+        cellar = new Cellar(pulse, this, settings);
         ledger = new Ledger(GROUP, pulse, post, disk, clerk, "messages", cellar);
         ledger.listen();
         gate = new Gate(pulse, post, ledger, cellar);
--- a/src/main/java/yewjunction/vault/Cellar.java
+++ b/src/main/java/yewjunction/vault/Cellar.java
@@ -14,6 +14,7 @@
 import yewjunction.base.Pulse;
 import yewjunction.charter.Charter;
 import yewjunction.ledger.Machine;
+import yewjunction.settings.Settings;
 
 import static yewjunction.base.Limits.KEEP_SLACK_MS;
 import static yewjunction.base.Limits.VAULT_SWEEP_MS;
@@ -27,7 +28,7 @@
     private final TreeMap<Long, Message> byIndex = new TreeMap<>();
     private final Map<String, Shelf> byTopic = new HashMap<>();
     final Numbers numbers = new Numbers();
-    final Quotas quotas = new Quotas();
+    final Quotas quotas;
     private Charter charter;
     private long floor;
 
@@ -59,8 +60,9 @@
         void leaderIs(String identity, boolean self);
     }
 
-    public Cellar(final Pulse pulse, final Watcher watcher) {
+    public Cellar(final Pulse pulse, final Watcher watcher, final Settings settings) {
         this.pulse = pulse;
+        quotas = new Quotas(settings.quotaWindowS(), settings.quotaExcess(), settings.quotaSlack(), pulse.nowMs());
         this.watcher = watcher;
         pulse.every(VAULT_SWEEP_MS, this::sweep);
     }
@@ -171,6 +173,7 @@
         }
         image.floors.forEach(one -> byTopic.computeIfAbsent(one.topic, key -> new Shelf()).floor = one.index);
         numbers.restore(image.tracks, nowMs);
+        quotas.forget();
     }
 
     @Override
--- a/src/main/java/yewjunction/vault/Quotas.java
+++ b/src/main/java/yewjunction/vault/Quotas.java
@@ -5,9 +5,15 @@
 import yewjunction.charter.Charter;
 import yewjunction.charter.Charter.Tenant;
 
+import static yewjunction.base.Limits.QUOTA_SHARE;
+
 /** Token buckets of the tenants; one leader admits all messages, so they count over all nodes. */
 final class Quotas {
     private final Map<String, Bucket> buckets = new HashMap<>();
+    private final double windowS;
+    private final double excess;
+    private final double slack;
+    private final long startMs;
     private Charter charter;
 
     private static final class Bucket {
@@ -15,26 +21,49 @@
         long atMs;
     }
 
+    /** Window, excess and slack: by how much the count of a window may pass a tenant's limit. */
+    Quotas(final double windowS, final double excess, final double slack, final long nowMs) {
+        this.windowS = windowS;
+        this.excess = excess;
+        this.slack = slack;
+        startMs = nowMs;
+    }
+
     void charter(final Charter newCharter) {
         charter = newCharter;
     }
 
+    /**
+     * A denial below the limit is service lost, and clocks and arrivals differ a little; so a part of what may pass is
+     * given to the bucket, and the rest is kept for changes of the leader.
+     */
+    private double depth(final Tenant tenant) {
+        return tenant.burst() + QUOTA_SHARE * (excess * (tenant.perSecond() * windowS + tenant.burst()) + slack);
+    }
+
     private Bucket filled(final String tenantName, final long nowMs) {
         final Tenant tenant = charter == null ? null : charter.tenant(tenantName);
         if (tenant == null) {
             return null;
         }
+        final double depth = depth(tenant);
         final Bucket bucket = buckets.computeIfAbsent(tenantName, key -> {
             final Bucket fresh = new Bucket();
-            fresh.tokens = tenant.burst();
+            // Soon after a start nothing is known of the window before it: the bucket starts empty, and fills.
+            fresh.tokens = nowMs - startMs > windowS * 1_000 ? depth : 0;
             fresh.atMs = nowMs;
             return fresh;
         });
-        bucket.tokens = Math.min(tenant.burst(), bucket.tokens + (nowMs - bucket.atMs) * tenant.perSecond() / 1_000);
+        bucket.tokens = Math.min(depth, bucket.tokens + (nowMs - bucket.atMs) * tenant.perSecond() / 1_000);
         bucket.atMs = nowMs;
         return bucket;
     }
 
+    /** The state came from elsewhere, with messages that were not counted here. */
+    void forget() {
+        buckets.values().forEach(bucket -> bucket.tokens = 0);
+    }
+
     /** Takes one message's worth, or says no. */
     boolean take(final String tenantName, final long nowMs) {
         final Bucket bucket = filled(tenantName, nowMs);
--- /dev/null
+++ b/src/test/java/yewjunction/system/Customer.java
@@ -0,0 +1,262 @@
+package yewjunction.system;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import yewjunction.loom.Line;
+import yewjunction.loom.Outbox;
+import yewjunction.sim.Host;
+
+/** A client that keeps to the protocol: resumes with its cursors, repeats its numbers, follows MOVE. */
+final class Customer {
+    final String name;
+    final String zone;
+    final Map<String, String> cursors = new TreeMap<>();
+    final Map<Long, Judge.Sent> open = new TreeMap<>();
+    String key;
+    private final Town town;
+    private final Judge judge;
+    private Wire wire;
+    private long numbers;
+    private long heardMs;
+    private boolean greeted;
+
+    Customer(final Town town, final Judge judge, final String name, final String zone, final String key) {
+        this.town = town;
+        this.judge = judge;
+        this.name = name;
+        this.zone = zone;
+        this.key = key;
+        town.customers.add(this);
+        town.world.every(200, this::look);
+    }
+
+    /** The edge's side of the connection; latency both ways. */
+    private final class Wire implements Line {
+        final String edge;
+        final Host host;
+        final int life;
+        private final Outbox out = new Outbox(256);
+        private Line.Owner owner;
+        private boolean up = true;
+        private boolean flushing;
+        private byte[] unread = new byte[0];
+        private String text = "";
+        private boolean dead;
+
+        Wire(final String edge) {
+            this.edge = edge;
+            host = town.world.host(edge);
+            life = host.life();
+        }
+
+        private boolean served() {
+            return host.up() && host.life() == life;
+        }
+
+        void say(final String words) {
+            town.world.after(1, () -> {
+                if (!served() || !up) {
+                    return;
+                }
+                if (owner == null) {
+                    owner = town.edge(edge).greet(this);
+                }
+                final byte[] more = words.getBytes(StandardCharsets.US_ASCII);
+                final byte[] all = new byte[unread.length + more.length];
+                System.arraycopy(unread, 0, all, 0, unread.length);
+                System.arraycopy(more, 0, all, unread.length, more.length);
+                final int taken = owner.take(all, all.length);
+                unread = java.util.Arrays.copyOfRange(all, taken, all.length);
+            });
+        }
+
+        @Override
+        public Outbox out() {
+            if (!flushing) {
+                flushing = true;
+                town.world.after(0, () -> {
+                    flushing = false;
+                    final String words = new String(out.take(), StandardCharsets.US_ASCII);
+                    town.world.after(1, () -> hear(words));
+                });
+            }
+            return out;
+        }
+
+        private void hear(final String words) {
+            if (wire != this || dead) {
+                return;
+            }
+            heardMs = town.world.nowMs();
+            text += words;
+            while (wire == this) {
+                final int end = text.indexOf("\r\n");
+                if (end < 0) {
+                    return;
+                }
+                final String[] fields = text.substring(0, end).split(" ");
+                int taken = end + 2;
+                String body = null;
+                if (fields[0].equals("MSG")) {
+                    final int length = Integer.parseInt(fields[5]);
+                    if (text.length() < taken + length + 2) {
+                        return;
+                    }
+                    body = text.substring(taken, taken + length);
+                    taken += length + 2;
+                }
+                text = text.substring(taken);
+                told(fields, body);
+            }
+        }
+
+        @Override
+        public int waiting() {
+            return out.size();
+        }
+
+        @Override
+        public void closeSoon() {
+            close();
+        }
+
+        @Override
+        public void close() {
+            if (up) {
+                up = false;
+                if (owner != null && served()) {
+                    owner.closed();
+                }
+                town.world.after(1, () -> {
+                    if (wire == this) {
+                        wire = null;
+                    }
+                });
+            }
+        }
+
+        @Override
+        public boolean open() {
+            return up;
+        }
+    }
+
+    String edge() {
+        return wire == null ? null : wire.edge;
+    }
+
+    /** The client resets its own connection. */
+    void cut() {
+        if (wire != null) {
+            final Wire old = wire;
+            wire = null;
+            town.world.after(1, old::close);
+        }
+    }
+
+    void resetBy(final String edge) {
+        if (wire != null && wire.edge.equals(edge)) {
+            wire = null;
+        }
+    }
+
+    private void look() {
+        final long nowMs = town.world.nowMs();
+        if (wire != null && nowMs - heardMs > 3_000) {
+            cut();
+        } else if (wire != null && nowMs - heardMs > 1_000) {
+            wire.say("PING\r\n");
+        }
+        if (wire == null) {
+            List<String> ready = town.readyEdges(zone);
+            ready = ready.isEmpty() ? town.readyEdges(null) : ready;
+            if (!ready.isEmpty()) {
+                connect(ready.get(town.world.luck.nextInt(ready.size())));
+            }
+        }
+    }
+
+    private void connect(final String edge) {
+        wire = new Wire(edge);
+        greeted = false;
+        heardMs = town.world.nowMs();
+        wire.say("HELLO " + name + " " + key + "\r\n");
+    }
+
+    void subscribe(final String topic) {
+        cursors.putIfAbsent(topic, "");
+        if (greeted && wire != null) {
+            wire.say(("SUB " + topic + " " + cursors.get(topic)).trim() + "\r\n");
+        }
+    }
+
+    void publish(final String topic) {
+        final long number = ++numbers;
+        final Judge.Sent sent = judge.sent(name, topic, number, town.world.nowMs());
+        open.put(number, sent);
+        if (greeted && wire != null) {
+            say(sent);
+        }
+    }
+
+    private void say(final Judge.Sent sent) {
+        sent.tries++;
+        wire.say("PUB " + sent.topic + " " + sent.number + " " + sent.body.length() + "\r\n" + sent.body + "\r\n");
+    }
+
+    private void told(final String[] fields, final String body) {
+        switch (fields[0]) {
+            case "OK" -> {
+                if (fields[1].equals("HELLO")) {
+                    greeted = true;
+                    new ArrayList<>(cursors.keySet()).forEach(this::subscribe);
+                    new HashMap<>(open).values().forEach(this::say);
+                } else if (fields[1].equals("SUB")) {
+                    cursors.put(fields[2], fields[3]);
+                    judge.subscribed(name, fields[2], town.world.nowMs());
+                }
+            }
+            case "MSG" -> {
+                judge.received(name, fields[1], Long.parseLong(fields[2]), fields[3], Long.parseLong(fields[4]), body);
+                cursors.put(fields[1], fields[2]);
+            }
+            case "ACK" -> {
+                final Judge.Sent sent = open.remove(Long.parseLong(fields[2]));
+                if (sent != null) {
+                    sent.acked = true;
+                }
+            }
+            case "REFUSE" -> refused(fields);
+            case "MOVE" -> {
+                cut();
+                connect(fields[1].substring(0, fields[1].indexOf(':')) + ":" + Town.PORT);
+            }
+            default -> { }
+        }
+    }
+
+    private void refused(final String[] fields) {
+        if (fields[1].equals("PUB")) {
+            final long number = Long.parseLong(fields[3]);
+            if (fields[4].equals("RETRY")) {
+                final Judge.Sent sent = open.remove(number);
+                if (sent != null) {
+                    sent.denied = true;
+                }
+            } else if (open.containsKey(number) && wire != null) {
+                say(open.get(number));
+            }
+        } else if (fields[1].equals("SUB")) {
+            judge.refused(name, fields[2], fields[4], town.world.nowMs());
+            if (cursors.containsKey(fields[2]) && fields[4].equals("RETRY")) {
+                town.world.after(300, () -> subscribe(fields[2]));
+            }
+        } else {
+            cut();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/yewjunction/system/Judge.java
@@ -0,0 +1,120 @@
+package yewjunction.system;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Holds what clients saw against the rules. */
+final class Judge {
+    private final Map<String, Sent> sent = new HashMap<>();
+    private final Map<String, Reading> readings = new HashMap<>();
+    private final Map<String, String> atPosition = new HashMap<>();
+    final List<String> expired = new ArrayList<>();
+    final List<String> revoked = new ArrayList<>();
+    int deliveries;
+
+    /** One message under one number. */
+    static final class Sent {
+        String client;
+        String topic;
+        long number;
+        String body;
+        long firstMs;
+        int tries;
+        boolean acked;
+        boolean denied;
+    }
+
+    /** One subscription. */
+    private static final class Reading {
+        long sinceMs = -1;
+        long untilMs = Long.MAX_VALUE;
+        long lastPosition = -1;
+        final Set<String> bodies = new HashSet<>();
+        final Map<String, Long> lastNumbers = new HashMap<>();
+    }
+
+    Sent sent(final String client, final String topic, final long number, final long nowMs) {
+        final Sent one = new Sent();
+        one.client = client;
+        one.topic = topic;
+        one.number = number;
+        one.firstMs = nowMs;
+        one.body = String.format("%s/%s/%d/xxxxxxxxxxxxxxxxxxxx", client, topic, number);
+        sent.put(one.body, one);
+        return one;
+    }
+
+    private Reading reading(final String client, final String topic) {
+        return readings.computeIfAbsent(client + " " + topic, key -> new Reading());
+    }
+
+    void subscribed(final String client, final String topic, final long nowMs) {
+        final Reading reading = reading(client, topic);
+        if (reading.sinceMs < 0) {
+            reading.sinceMs = nowMs;
+        }
+    }
+
+    void refused(final String client, final String topic, final String reason, final long nowMs) {
+        if (reason.equals("EXPIRED")) {
+            expired.add(client + " " + topic);
+        } else if (!reason.equals("RETRY")) {
+            revoked.add(client + " " + topic + " " + reason);
+            reading(client, topic).untilMs = nowMs;
+        }
+    }
+
+    void received(final String client, final String topic, final long position, final String sender, final long number,
+            final String body) {
+        deliveries++;
+        final Sent one = sent.get(body);
+        assertNotNull(one, "a message that nobody sent: " + body);
+        assertEquals(one.client + " " + one.topic + " " + one.number, sender + " " + topic + " " + number);
+        assertFalse(one.denied, "delivered though denied: " + body);
+        final Reading reading = reading(client, topic);
+        assertTrue(reading.sinceMs >= 0, "delivered before the answer to SUB");
+        assertTrue(reading.bodies.add(body), client + " got twice: " + body);
+        assertTrue(position > reading.lastPosition, client + " " + topic + ": " + position + " after " + reading.lastPosition);
+        reading.lastPosition = position;
+        final Long last = reading.lastNumbers.put(sender, number);
+        assertTrue(last == null || last < number, "out of the sender's order: " + body);
+        final String known = atPosition.putIfAbsent(topic + " " + position, body);
+        assertTrue(known == null || known.equals(body), "two messages at one position");
+    }
+
+    /** All that was acknowledged and owed has come; nothing that was denied has. */
+    void settle() {
+        int acked = 0;
+        for (final Sent one : sent.values()) {
+            acked += one.acked ? 1 : 0;
+            for (final Map.Entry<String, Reading> entry : readings.entrySet()) {
+                final String topic = entry.getKey().substring(entry.getKey().indexOf(' ') + 1);
+                final Reading reading = entry.getValue();
+                if (one.acked && topic.equals(one.topic) && reading.sinceMs >= 0 && one.firstMs > reading.sinceMs
+                    && reading.untilMs == Long.MAX_VALUE) {
+                    assertTrue(reading.bodies.contains(one.body), entry.getKey() + " lacks " + one.body + " sent at " + one.firstMs);
+                }
+                assertFalse(one.denied && reading.bodies.contains(one.body), "denied and delivered: " + one.body);
+            }
+        }
+        assertTrue(acked > 0 && deliveries > 0, "nothing was served");
+    }
+
+    long ackedCount() {
+        return sent.values().stream().filter(one -> one.acked).count();
+    }
+
+    /** Acknowledged messages first sent in a span. */
+    long ackedBetween(final long fromMs, final long toMs) {
+        return sent.values().stream().filter(one -> one.acked && one.firstMs >= fromMs && one.firstMs < toMs).count();
+    }
+}
--- /dev/null
+++ b/src/test/java/yewjunction/system/SystemSimTest.java
@@ -0,0 +1,149 @@
+package yewjunction.system;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** The whole system under the rules, on simulated machines. */
+class SystemSimTest {
+    private Town town;
+    private Judge judge;
+
+    private void begin(final long seed, final int perSecond) {
+        town = new Town(seed);
+        judge = new Judge();
+        town.world.runFor(1_500);
+        town.configure(Town.route("s."), Town.tenant("t", "key", perSecond) + "," + Town.tenant("u", "other", perSecond));
+        assertTrue(town.world.runUntil(() -> town.readyEdges(null).size() == 6, 10_000), "edges not ready");
+        for (int i = 0; i < 12; i++) {
+            final Customer customer = new Customer(town, judge, "c" + i, "zone" + (1 + i % 3), i % 2 == 0 ? "key" : "other");
+            for (int topic = 0; topic < 3; topic++) {
+                customer.subscribe("s.t" + (i + topic) % 6);
+            }
+        }
+        town.world.runFor(2_000);
+        town.world.every(40, () -> {
+            final Customer customer = town.customers.get(town.world.luck.nextInt(town.customers.size()));
+            if (customer.open.size() < 4 && !quiet) {
+                customer.publish("s.t" + town.world.luck.nextInt(6));
+            }
+        });
+    }
+
+    private boolean quiet;
+
+    private void settle() {
+        town.world.join();
+        town.world.loss = 0;
+        town.bootAll();
+        town.world.runFor(6_000);
+        quiet = true;
+        town.world.runFor(6_000);
+        judge.settle();
+        assertEquals(List.of(), judge.expired);
+    }
+
+    @Test
+    void aQuietDayIsServedWhole() {
+        begin(1, 1_000);
+        town.world.runFor(10_000);
+        settle();
+        assertTrue(judge.ackedCount() > 200, "acked " + judge.ackedCount());
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16})
+    void theRulesHoldUnderTroubles(final long seed) {
+        begin(seed, 1_000);
+        town.world.loss = 0.02;
+        for (int round = 0; round < 6; round++) {
+            final String tide = any("tide");
+            final String vault = any("vault");
+            final String crux = any("crux");
+            switch (town.world.luck.nextInt(11)) {
+                case 0 -> town.kill(tide);
+                case 1 -> town.powerOff(tide);
+                case 2 -> town.kill(vault);
+                case 3 -> town.powerOff(vault);
+                case 4 -> {
+                    town.powerOff(vault);
+                    town.world.host(vault).wipe();
+                }
+                case 5 -> town.kill(crux);
+                case 6 -> town.stop(tide);
+                case 7 -> town.stop(vault);
+                case 8 -> town.customers.forEach(customer -> {
+                    if (town.world.luck.nextInt(3) > 0) {
+                        customer.cut();
+                    }
+                });
+                case 9 -> town.all("vault").forEach(other -> town.world.cut(vault, other));
+                default -> town.nodes.keySet().forEach(town::powerOff);
+            }
+            town.world.runFor(500 + town.world.luck.nextInt(3_000));
+            town.world.join();
+            town.bootAll();
+            town.world.runFor(5_000);
+        }
+        settle();
+        assertTrue(judge.ackedCount() > 300, "acked " + judge.ackedCount());
+    }
+
+    private String any(final String duty) {
+        final List<String> all = town.all(duty);
+        return all.get(town.world.luck.nextInt(all.size()));
+    }
+
+    @Test
+    void aKeyTakenAwayOpensNothingMore() {
+        begin(3, 1_000);
+        town.world.runFor(3_000);
+        // One edge is cut off from every crux: its lease must end by itself.
+        final String lonely = town.readyEdges("zone1").get(0);
+        town.all("crux").forEach(crux -> {
+            if (!crux.startsWith(lonely.substring(0, lonely.indexOf(':')))) {
+                town.world.cut(lonely, crux);
+            }
+        });
+        town.configure(Town.route("s."), Town.tenant("t", "key", 1_000) + "," + Town.tenant("u", "newer", 1_000));
+        final long ackMs = town.world.nowMs();
+        town.world.runFor(5_000);
+        // The lonely edge never hears of it: there it is the lapsed lease that ends all service.
+        town.customers.stream().filter(customer -> customer.key.equals("other") && !lonely.equals(customer.edge()))
+            .forEach(customer -> assertTrue(judge.revoked.stream().anyMatch(one -> one.startsWith(customer.name + " ")),
+                customer.name));
+        final long before = judge.deliveries;
+        town.customers.removeIf(customer -> customer.key.equals("key"));
+        town.world.runFor(3_000);
+        assertEquals(before, judge.deliveries);
+        assertEquals(0, judge.ackedBetween(ackMs + 5_000, Long.MAX_VALUE));
+    }
+
+    @Test
+    void aTenantGetsItsRateAndNotMuchMore() {
+        begin(4, 10);
+        town.world.runFor(20_000);
+        final long endMs = town.world.nowMs();
+        // 25 messages a second come from two tenants that may send 10 each.
+        for (long fromMs = endMs - 19_000; fromMs < endMs - 5_000; fromMs += 250) {
+            final long count = judge.ackedBetween(fromMs, fromMs + 5_000);
+            assertTrue(count <= 2 * ((10 * 5 + 10) * 1.1 + 20), count + " from " + fromMs);
+            assertTrue(count >= 2 * 10 * 5 * 0.85, count + " from " + fromMs);
+        }
+        settle();
+    }
+
+    @Test
+    void aDrainedEdgeMovesItsClientsBeforeItEnds() {
+        begin(6, 1_000);
+        town.world.runFor(2_000);
+        final String leaving = town.readyEdges("zone2").get(0);
+        town.stop(leaving);
+        assertTrue(town.world.runUntil(() -> !town.world.host(leaving).up(), 4_000), "still up after the grace");
+        settle();
+    }
+}
--- /dev/null
+++ b/src/test/java/yewjunction/system/Town.java
@@ -0,0 +1,174 @@
+package yewjunction.system;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import yewjunction.charter.Desk;
+import yewjunction.node.CruxNode;
+import yewjunction.node.EdgeNode;
+import yewjunction.node.Node;
+import yewjunction.node.VaultNode;
+import yewjunction.roster.Roster;
+import yewjunction.roster.Sibling;
+import yewjunction.settings.Settings;
+import yewjunction.sim.Host;
+import yewjunction.sim.SimPost;
+import yewjunction.sim.World;
+
+/** A whole system on simulated machines: three zones with a crux, two tides and a vault each. */
+final class Town {
+    static final int PORT = 7000;
+    final World world;
+    final Map<String, Node> nodes = new TreeMap<>();
+    final List<Customer> customers = new ArrayList<>();
+    private final Map<String, Roster> rosters = new HashMap<>();
+    private final List<String> seeds = List.of("10.1.0.1:8024", "10.2.0.1:8024", "10.3.0.1:8024");
+    private long lives = 1;
+    long version;
+
+    Town(final long seed) {
+        world = new World(seed);
+        for (int zone = 1; zone <= 3; zone++) {
+            boot("10." + zone + ".0.1:" + (PORT + Settings.CRUX_OFFSET), true);
+            boot("10." + zone + ".0.1:" + PORT, true);
+            boot("10." + zone + ".0.2:" + PORT, true);
+            boot("10." + zone + ".0.9:" + PORT, true);
+        }
+    }
+
+    static String zone(final String address) {
+        return "zone" + address.charAt(3);
+    }
+
+    private static String duty(final String address) {
+        return address.endsWith(":" + (PORT + Settings.CRUX_OFFSET)) ? "crux" : address.contains(".9:") ? "vault" : "tide";
+    }
+
+    List<String> all(final String duty) {
+        return nodes.keySet().stream().filter(address -> duty(address).equals(duty)).toList();
+    }
+
+    void boot(final String address, final boolean founding) {
+        final Host host = world.host(address);
+        final SimPost post = host.boot();
+        final long life = ++lives;
+        final String ip = address.substring(0, address.indexOf(':'));
+        final String duty = duty(address);
+        final Settings settings = new Settings("node-" + address, duty, List.of(duty), ip, zone(address), ip + ":8022",
+            ip + ":8029", ip + ":8024", PORT, PORT + 15, seeds, founding, "/data", 1, 2, 5, 0.1, 20);
+        final Sibling self = new Sibling();
+        self.address = address;
+        self.node = settings.node();
+        self.zone = settings.zone();
+        self.duty = duty;
+        self.front = duty.equals("tide") ? settings.front() : "";
+        self.life = life;
+        final Roster roster = new Roster(host, self, host::datagram);
+        host.onDatagram(roster::take);
+        final Node node = switch (duty) {
+            case "crux" -> new CruxNode(host, post, host.disk, host.clerk(), roster, settings, life);
+            case "vault" -> new VaultNode(host, post, host.disk, host.clerk(), roster, settings, life);
+            default -> new EdgeNode(host, post, roster, settings, life);
+        };
+        nodes.put(address, node);
+        rosters.put(address, roster);
+        roster.start(settings.coreAddresses());
+        node.start();
+    }
+
+    void bootAll() {
+        for (final String address : List.copyOf(nodes.keySet())) {
+            if (!world.host(address).up()) {
+                boot(address, false);
+            }
+        }
+    }
+
+    void kill(final String address) {
+        world.host(address).kill();
+        customers.forEach(customer -> customer.resetBy(address));
+    }
+
+    void powerOff(final String address) {
+        world.host(address).powerOff();
+    }
+
+    /** SIGTERM: the process ends when it says so. */
+    void stop(final String address) {
+        final Host host = world.host(address);
+        final int life = host.life();
+        nodes.get(address).stop(() -> {
+            rosters.get(address).leave();
+            world.after(20, () -> {
+                if (host.up() && host.life() == life) {
+                    kill(address);
+                }
+            });
+        });
+    }
+
+    EdgeNode edge(final String address) {
+        return (EdgeNode) nodes.get(address);
+    }
+
+    List<String> readyEdges(final String zone) {
+        final List<String> ready = new ArrayList<>();
+        for (final String address : all("tide")) {
+            if (world.host(address).up() && edge(address).ready() && (zone == null || zone.equals(zone(address)))) {
+                ready.add(address);
+            }
+        }
+        return ready;
+    }
+
+    // --- the operator ---
+
+    void call(final String crux, final String method, final String path, final long base, final String body,
+            final Consumer<Desk.Answer> answer) {
+        final Host host = world.host(crux);
+        if (host.up()) {
+            host.post(() -> ((CruxNode) nodes.get(crux)).desk().take(new Desk.Errand(method, path, String.valueOf(base),
+                body.getBytes(StandardCharsets.UTF_8)), answer));
+        }
+    }
+
+    /** Keeps calling until one crux answers with that status. */
+    Desk.Answer insist(final String method, final String path, final long base, final String body, final int status) {
+        final Desk.Answer[] got = new Desk.Answer[1];
+        for (int shot = 0; shot < 60 && got[0] == null; shot++) {
+            call(all("crux").get(shot % 3), method, path, base, body, answer -> {
+                if (answer.status() == status) {
+                    got[0] = answer;
+                }
+            });
+            world.runUntil(() -> got[0] != null, 300);
+        }
+        if (got[0] == null) {
+            throw new AssertionError(method + " " + path + " never answered " + status);
+        }
+        return got[0];
+    }
+
+    void configure(final String routes, final String tenants) {
+        final long next = version + 1;
+        insist("POST", "/-/config/replace", version, config(next, routes, tenants), 200);
+        version = next;
+    }
+
+    static String config(final long version, final String routes, final String tenants) {
+        return "{\"Ver\":" + version + ",\"Routes\":[" + routes + "],\"Svcs\":[],\"Lims\":{\"Subs\":200},\"Tenants\":[" + tenants + "]}";
+    }
+
+    static String route(final String prefix) {
+        return "{\"Name\":\"r-" + prefix + "\",\"Host\":\"\",\"Pfx\":\"" + prefix
+            + "\",\"Type\":\"kept\",\"TimeoutMs\":1500,\"LingerS\":35.0,\"Fifo\":\"topic\",\"Public\":false}";
+    }
+
+    static String tenant(final String name, final String key, final int perSecond) {
+        return "{\"Name\":\"" + name + "\",\"Apikeys\":[\"" + key + "\"],\"RatePerS\":" + perSecond + ",\"Burst\":" + perSecond + "}";
+    }
+}
