--- a/src/main/java/yewjunction/base/Limits.java
+++ b/src/main/java/yewjunction/base/Limits.java
@@ -42,6 +42,8 @@
     public static final double ANSWER_SHARE = 0.85;
     /** ms; a SUB gets its final answer by then, before any client resets its link. */
     public static final long JOIN_ANSWER_MS = 1_000;
+    /** ms; a HELLO waits this long for an edge that is still starting or whose lease is being renewed. */
+    public static final long HELLO_ANSWER_MS = 1_000;
     /** ms; subscriptions of a client that stays away this long are removed, well after the longest keeping time. */
     public static final long AWAY_MS = 120_000;
 
@@ -81,8 +83,9 @@
     /** ms; least and most wait before a follower stands for election. */
     public static final long ELECT_LEAST_MS = 450;
     public static final long ELECT_MOST_MS = 850;
-    /** ms; pace of a ledger's own look at the clock. */
-    public static final long LEDGER_TICK_MS = 25;
+    /** ms; the same for a process that has just started: it owes no patience to a leader it never heard, and asks first. */
+    public static final long ELECT_FIRST_LEAST_MS = 120;
+    public static final long ELECT_FIRST_MOST_MS = 320;
     /** entries; one append letter at most. */
     public static final int APPEND_ENTRIES = 256;
     /** bytes; one append letter at most. */
--- a/src/main/java/yewjunction/charter/Crux.java
+++ b/src/main/java/yewjunction/charter/Crux.java
@@ -87,6 +87,8 @@
 
     @Override
     public void leaderIs(final String identity, final boolean self) {
-        // Whoever asked the old leader asks again by itself; nothing is owed here.
+        if (lessor != null && identity != null) {
+            pulse.post(lessor::leaderChanged);
+        }
     }
 }
--- a/src/main/java/yewjunction/charter/Lessor.java
+++ b/src/main/java/yewjunction/charter/Lessor.java
@@ -14,6 +14,7 @@
 import yewjunction.ledger.Ledger;
 
 import static yewjunction.base.Limits.LEASE_ANSWER_MS;
+import static yewjunction.base.Limits.LEASE_MS;
 
 /** Home for the tides and vaults of a zone: leases on the leader's confirmed word, and news at once. */
 final class Lessor {
@@ -30,7 +31,7 @@
     private long askedMs;
     private boolean telling;
 
-    private record Asked(Link link, Renew renew) {
+    private record Asked(Link link, Renew renew, long atMs) {
     }
 
     /** Confirmed up to a commit that this home may not have applied yet. */
@@ -52,7 +53,9 @@
     private void renew(final Link link, final Renew renew) {
         subscribers.put(link, renew);
         registrar.heard(renew.who);
-        waiting.add(new Asked(link, renew));
+        // The newest question of an asker stands for its earlier ones.
+        waiting.removeIf(asked -> asked.link == link);
+        waiting.add(new Asked(link, renew, pulse.nowMs()));
         ask();
     }
 
@@ -79,11 +82,17 @@
             confirm.number = ++number;
             post.dial(Ledger.address(ledger.leader())).send(confirm);
         } else {
-            // Nobody leads: the askers ask again, and none of them gets a lease on old ground.
-            waiting.clear();
+            // Nobody leads: they wait for the next leader, since a lease counts from when it was asked for anyway.
+            waiting.removeIf(asked -> !asked.link.open() || nowMs - asked.atMs > LEASE_MS);
         }
     }
 
+    /** Somebody leads now: whoever waited is served at once. */
+    void leaderChanged() {
+        underWay = new ArrayList<>();
+        ask();
+    }
+
     private void confirm(final Link link, final Confirm confirm) {
         ledger.confirm(held -> {
             final Confirmed confirmed = new Confirmed();
--- a/src/main/java/yewjunction/dock/Dock.java
+++ b/src/main/java/yewjunction/dock/Dock.java
@@ -197,6 +197,7 @@
         while (!stalled.isEmpty() && tenure.held()) {
             stalled.poll().run();
         }
+        errands.look(nowMs);
         shipping.look(nowMs);
         boarding.look(nowMs);
         for (final Berth berth : berths()) {
--- a/src/main/java/yewjunction/dock/Errands.java
+++ b/src/main/java/yewjunction/dock/Errands.java
@@ -1,18 +1,27 @@
 package yewjunction.dock;
 
+import java.util.ArrayList;
+import java.util.List;
 import yewjunction.charter.Charter;
 import yewjunction.charter.Tenure;
 import yewjunction.dock.Berth.Sub;
 import yewjunction.weave.Weave;
 
+import static yewjunction.base.Limits.HELLO_ANSWER_MS;
+
 /** What each word of a client asks for, checked against the configuration in force. */
 final class Errands {
     /** bytes; a cursor of this system is a number and never longer. */
     private static final int POSITION_CHARS = 18;
+    private final List<Waiting> waiting = new ArrayList<>();
     private final Dock dock;
     private final Tenure tenure;
     private final Weave weave;
 
+    /** A HELLO that this edge can't answer yet. */
+    private record Waiting(Berth berth, String client, String secret, long sinceMs) {
+    }
+
     Errands(final Dock dock, final Tenure tenure, final Weave weave) {
         this.dock = dock;
         this.tenure = tenure;
@@ -38,20 +47,50 @@
     }
 
     private void hello(final Berth berth, final String client, final String secret) {
-        final Charter charter = tenure.charter();
         if (client.isEmpty() || berth.greeted()) {
             berth.refuse("HELLO", "", "", "BADMSG");
-        } else if (!tenure.held() || weave.self() == 0) {
-            berth.refuse("HELLO", "", "", "RETRY");
-        } else if (!secret.isEmpty() && charter.tenantOfKey(secret) == null) {
-            berth.refuse("HELLO", "", "", "DENIED");
+        } else if (able()) {
+            greet(berth, client, secret);
         } else {
-            berth.client = client;
-            berth.secret = secret;
-            dock.greeted(berth);
-            berth.ok("HELLO", "", "");
-            dock.moveIfDraining(berth);
+            // Starting, or the lease is being renewed: served as soon as that is done, which takes moments.
+            waiting.add(new Waiting(berth, client, secret, dock.nowMs()));
+        }
+    }
+
+    private boolean able() {
+        return tenure.held() && weave.self() != 0;
+    }
+
+    void look(final long nowMs) {
+        if (waiting.isEmpty()) {
+            return;
+        }
+        final List<Waiting> asked = new ArrayList<>(waiting);
+        waiting.clear();
+        for (final Waiting one : asked) {
+            if (!one.berth.line.open() || one.berth.greeted()) {
+                continue;
+            }
+            if (able()) {
+                greet(one.berth, one.client, one.secret);
+            } else if (nowMs - one.sinceMs > HELLO_ANSWER_MS) {
+                one.berth.refuse("HELLO", "", "", "RETRY");
+            } else {
+                waiting.add(one);
+            }
+        }
+    }
+
+    private void greet(final Berth berth, final String client, final String secret) {
+        if (!secret.isEmpty() && tenure.charter().tenantOfKey(secret) == null) {
+            berth.refuse("HELLO", "", "", "DENIED");
+            return;
         }
+        berth.client = client;
+        berth.secret = secret;
+        dock.greeted(berth);
+        berth.ok("HELLO", "", "");
+        dock.moveIfDraining(berth);
     }
 
     /** Why this client may not use the topic right now, or null when it may. */
--- a/src/main/java/yewjunction/ledger/Election.java
+++ b/src/main/java/yewjunction/ledger/Election.java
@@ -7,6 +7,8 @@
 import yewjunction.ledger.Letters.Ask;
 import yewjunction.ledger.Letters.AskAnswer;
 
+import static yewjunction.base.Limits.ELECT_FIRST_LEAST_MS;
+import static yewjunction.base.Limits.ELECT_FIRST_MOST_MS;
 import static yewjunction.base.Limits.ELECT_LEAST_MS;
 import static yewjunction.base.Limits.ELECT_MOST_MS;
 
@@ -23,11 +25,20 @@
     }
 
     void restartClock() {
-        electAtMs = ledger.pulse.nowMs() + ELECT_LEAST_MS
-            + ledger.pulse.luck().nextInt((int) (ELECT_MOST_MS - ELECT_LEAST_MS));
+        restartClock(ELECT_LEAST_MS, ELECT_MOST_MS);
     }
 
-    void watch() {
+    private void restartClock(final long leastMs, final long mostMs) {
+        electAtMs = ledger.pulse.nowMs() + leastMs + ledger.pulse.luck().nextInt((int) (mostMs - leastMs));
+    }
+
+    /** After a loss of power all members start together and nobody leads: the first wait is short. */
+    void start() {
+        restartClock(ELECT_FIRST_LEAST_MS, ELECT_FIRST_MOST_MS);
+        watch();
+    }
+
+    private void watch() {
         if (ledger.stopped()) {
             return;
         }
--- a/src/main/java/yewjunction/ledger/Ledger.java
+++ b/src/main/java/yewjunction/ledger/Ledger.java
@@ -60,8 +60,7 @@
     }
 
     public void start() {
-        restartClock();
-        election.watch();
+        election.start();
     }
 
     public void stop() {
