A follower whose link from the leader breaks stands for election soon

Cause: a killed vault's followers kept their full patience (0.69 s) though the broken link had told them.

--- a/src/main/java/yewjunction/base/Limits.java
+++ b/src/main/java/yewjunction/base/Limits.java
@@ -86,6 +86,9 @@
     /** ms; the same for a process that has just started: it owes no patience to a leader it never heard, and asks first. */
     public static final long ELECT_FIRST_LEAST_MS = 120;
     public static final long ELECT_FIRST_MOST_MS = 320;
+    /** ms; a follower whose link from the leader broke waits this long for another: above a beat and a dial. */
+    public static final long ELECT_BROKEN_LEAST_MS = 130;
+    public static final long ELECT_BROKEN_MOST_MS = 260;
     /** entries; one append letter at most. */
     public static final int APPEND_ENTRIES = 256;
     /** bytes; one append letter at most. */
--- a/src/main/java/yewjunction/ledger/Election.java
+++ b/src/main/java/yewjunction/ledger/Election.java
@@ -7,6 +7,8 @@
 import yewjunction.ledger.Letters.Ask;
 import yewjunction.ledger.Letters.AskAnswer;
 
+import static yewjunction.base.Limits.ELECT_BROKEN_LEAST_MS;
+import static yewjunction.base.Limits.ELECT_BROKEN_MOST_MS;
 import static yewjunction.base.Limits.ELECT_FIRST_LEAST_MS;
 import static yewjunction.base.Limits.ELECT_FIRST_MOST_MS;
 import static yewjunction.base.Limits.ELECT_LEAST_MS;
@@ -38,15 +40,24 @@
         watch();
     }
 
+    /** The leader's link broke, as it does when its process dies: no full patience is owed, unless it dials again. */
+    void leaderLinkBroke() {
+        restartClock(ELECT_BROKEN_LEAST_MS, ELECT_BROKEN_MOST_MS);
+        ledger.pulse.after(electAtMs - ledger.pulse.nowMs(), this::standWhenDue);
+    }
+
+    private void standWhenDue() {
+        if (!ledger.leadsTerm() && !ledger.stopped() && ledger.pulse.nowMs() >= electAtMs) {
+            stand(false);
+        }
+    }
+
     private void watch() {
         if (ledger.stopped()) {
             return;
         }
-        final long nowMs = ledger.pulse.nowMs();
-        if (!ledger.leadsTerm() && nowMs >= electAtMs) {
-            stand(false);
-        }
-        ledger.pulse.after(Math.max(10, ledger.leadsTerm() ? ELECT_LEAST_MS : electAtMs - nowMs), this::watch);
+        standWhenDue();
+        ledger.pulse.after(Math.max(10, ledger.leadsTerm() ? ELECT_LEAST_MS : electAtMs - ledger.pulse.nowMs()), this::watch);
     }
 
     /** Asks for votes: first only whether they would be given, so that a member cut off raises no terms. */
--- a/src/main/java/yewjunction/ledger/Following.java
+++ b/src/main/java/yewjunction/ledger/Following.java
@@ -81,6 +81,7 @@
             answer(link, append, false, 0);
             return;
         }
+        ledger.heardOn(link);
         final boolean behindBase = append.prevIndex < log.baseIndex();
         if (!behindBase && log.termAt(append.prevIndex) != append.prevTerm) {
             answer(link, append, false, Math.min(log.lastIndex(), append.prevIndex - 1));
--- a/src/main/java/yewjunction/ledger/Ledger.java
+++ b/src/main/java/yewjunction/ledger/Ledger.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 import yewjunction.base.Event;
+import yewjunction.base.Link;
 import yewjunction.base.Post;
 import yewjunction.base.Pulse;
 
@@ -25,6 +26,7 @@
     final Course course;
     private Role role = Role.FOLLOWS;
     private String leaderIdentity;
+    private Link leaderLink;
     private long heardMs;
     private boolean stopped;
 
@@ -177,6 +179,19 @@
         return role == Role.LEADS || leaderIdentity != null && pulse.nowMs() - heardMs < ELECT_LEAST_MS;
     }
 
+    /** Remembers on which link the leader speaks. */
+    void heardOn(final Link link) {
+        leaderLink = link;
+    }
+
+    void closed(final Link link) {
+        if (link == leaderLink && role == Role.FOLLOWS && !stopped) {
+            leaderLink = null;
+            heardMs = pulse.nowMs() - ELECT_LEAST_MS;
+            election.leaderLinkBroke();
+        }
+    }
+
     void stands() {
         role = Role.STANDS;
     }
--- a/src/main/java/yewjunction/ledger/Mail.java
+++ b/src/main/java/yewjunction/ledger/Mail.java
@@ -25,6 +25,7 @@
     }
 
     void listen() {
+        ledger.post.onClose(ledger::closed);
         on(Ask.class, following::ask);
         on(AskAnswer.class, (link, answer) -> election.granted(answer));
         on(Append.class, following::append);
--- a/src/test/java/yewjunction/ledger/LedgerSimTest.java
+++ b/src/test/java/yewjunction/ledger/LedgerSimTest.java
@@ -205,6 +205,18 @@
         assertTrue(world.nowMs() - startMs < 150, "took " + (world.nowMs() - startMs) + " ms");
     }
 
+    @Test
+    void aKilledLeaderIsReplacedWithoutFullPatience() {
+        begin(11);
+        assertTrue(world.runUntil(() -> acknowledged.size() > 50, 10_000));
+        world.loss = 0;
+        final Ledger old = leader();
+        final long startMs = world.nowMs();
+        world.host(Ledger.address(old.identity())).kill();
+        assertTrue(world.runUntil(() -> leader() != null, 5_000));
+        assertTrue(world.nowMs() - startMs < 450, "took " + (world.nowMs() - startMs) + " ms");
+    }
+
     @Test
     void aLongLedgerIsRewrittenAndStillOpens() {
         begin(9);
