--- a/src/main/java/yewjunction/app/Main.java
+++ b/src/main/java/yewjunction/app/Main.java
@@ -119,6 +119,13 @@
             Help.help(cli().getMetadata(), java.util.List.of());
             return arguments.length == 0 ? EXIT_USAGE : EXIT_OK;
         }
+        // A daemon's start is service lost, and its plain form needs no parser: the library's set-up costs as much as the rest.
+        if (arguments.length == 1 && arguments[0].equals("tide")) {
+            return new TideCommand().call();
+        }
+        if (arguments.length == 1 && arguments[0].equals("crux")) {
+            return new CruxCommand().call();
+        }
         final Callable<Integer> command;
         try {
             command = cli().parse(arguments);
--- a/src/main/java/yewjunction/base/Limits.java
+++ b/src/main/java/yewjunction/base/Limits.java
@@ -44,6 +44,8 @@
     public static final long JOIN_ANSWER_MS = 1_000;
     /** ms; a HELLO waits this long for an edge that is still starting or whose lease is being renewed. */
     public static final long HELLO_ANSWER_MS = 1_000;
+    /** ms; an edge whose lease has lapsed for so long lets its clients go: others may still serve them. */
+    public static final long LAPSED_LINKS_MS = 3_000;
     /** ms; subscriptions of a client that stays away this long are removed, well after the longest keeping time. */
     public static final long AWAY_MS = 120_000;
 
--- a/src/main/java/yewjunction/dock/Dock.java
+++ b/src/main/java/yewjunction/dock/Dock.java
@@ -18,6 +18,7 @@
 
 import static yewjunction.base.Limits.AWAY_MS;
 import static yewjunction.base.Limits.DOCK_SWEEP_MS;
+import static yewjunction.base.Limits.LAPSED_LINKS_MS;
 import static yewjunction.base.Limits.SILENT_PINGS;
 
 /** All clients of one edge. */
@@ -36,6 +37,7 @@
     private final ArrayDeque<Runnable> stalled = new ArrayDeque<>();
     private LongPredicate live = replica -> true;
     private Drain drain;
+    private long heldMs;
 
     public Dock(final Pulse pulse, final Post post, final Tenure tenure, final Weave weave, final double pingS) {
         this.pulse = pulse;
@@ -197,6 +199,12 @@
         while (!stalled.isEmpty() && tenure.held()) {
             stalled.poll().run();
         }
+        if (tenure.held()) {
+            heldMs = nowMs;
+        } else if (nowMs - heldMs > LAPSED_LINKS_MS) {
+            // A client that only listens would never notice that nothing can come here.
+            gapped();
+        }
         errands.look(nowMs);
         shipping.look(nowMs);
         boarding.look(nowMs);
