--- a/src/main/java/yewjunction/base/Limits.java
+++ b/src/main/java/yewjunction/base/Limits.java
@@ -119,6 +119,10 @@
     public static final long LEASE_PACE_MS = 600;
     /** ms; counted from when the renewal was asked for; below ApplyMs and RevokeMs of every deployment. */
     public static final long LEASE_MS = 2_500;
+    /** ms; a home asks the leader at most this often, for all who asked meanwhile. */
+    public static final long LEASE_BATCH_MS = 150;
+    /** renewals; after so many good ones a tide asks the nearest crux again. */
+    public static final int LEASE_RETURN = 8;
     /** ms; a renewal without an answer is asked of another crux after this. */
     public static final long LEASE_ANSWER_MS = 500;
     /** ms; an operator's call waits at most this long inside a crux. */
--- a/src/main/java/yewjunction/charter/Lessor.java
+++ b/src/main/java/yewjunction/charter/Lessor.java
@@ -14,6 +14,7 @@
 import yewjunction.ledger.Ledger;
 
 import static yewjunction.base.Limits.LEASE_ANSWER_MS;
+import static yewjunction.base.Limits.LEASE_BATCH_MS;
 import static yewjunction.base.Limits.LEASE_MS;
 
 /** Home for the tides and vaults of a zone: leases on the leader's confirmed word, and news at once. */
@@ -30,6 +31,7 @@
     private long number;
     private long askedMs;
     private boolean telling;
+    private boolean batching;
 
     private record Asked(Link link, Renew renew, long atMs) {
     }
@@ -66,9 +68,21 @@
         if (waiting.isEmpty() || !underWay.isEmpty() && !lost) {
             return;
         }
+        // One question serves all askers of a short while: each goes through a majority, across zones.
+        if (nowMs - askedMs < LEASE_BATCH_MS) {
+            if (!batching) {
+                batching = true;
+                pulse.after(LEASE_BATCH_MS - (nowMs - askedMs), () -> {
+                    batching = false;
+                    ask();
+                });
+            }
+            return;
+        }
         if (ledger.leads()) {
             final List<Asked> asked = waiting;
             waiting = new ArrayList<>();
+            askedMs = nowMs;
             ledger.confirm(held -> {
                 if (held) {
                     asked.forEach(this::grant);
@@ -90,6 +104,7 @@
     /** Somebody leads now: whoever waited is served at once. */
     void leaderChanged() {
         underWay = new ArrayList<>();
+        askedMs = 0;
         ask();
     }
 
--- a/src/main/java/yewjunction/charter/Tenure.java
+++ b/src/main/java/yewjunction/charter/Tenure.java
@@ -14,6 +14,7 @@
 import static yewjunction.base.Limits.LEASE_ANSWER_MS;
 import static yewjunction.base.Limits.LEASE_MS;
 import static yewjunction.base.Limits.LEASE_PACE_MS;
+import static yewjunction.base.Limits.LEASE_RETURN;
 
 /** A tide's or vault's hold on the configuration: renewed from a home crux, lapsed when no majority stands behind it. */
 public final class Tenure {
@@ -27,6 +28,7 @@
     private long leaseEndMs = Long.MIN_VALUE;
     private boolean held;
     private int shot;
+    private int good;
     private long askNumber;
     private long answeredNumber;
 
@@ -75,6 +77,9 @@
         if (silent) {
             // The home did not answer: it may be dark, so the next nearest is asked.
             shot++;
+            good = 0;
+        } else if (++good >= LEASE_RETURN) {
+            shot = 0;
         }
         if (!known.isEmpty()) {
             askNumber++;
--- a/src/main/java/yewjunction/ledger/Following.java
+++ b/src/main/java/yewjunction/ledger/Following.java
@@ -104,6 +104,9 @@
         ledger.course.write(fresh);
         final long match = Math.max(append.prevIndex + append.entries.size(), log.baseIndex());
         ledger.course.commitTo(Math.min(append.commit, match));
+        if (append.quiet && append.entries.isEmpty()) {
+            return;
+        }
         if (match <= ledger.course.syncedIndex() || append.entries.isEmpty()) {
             answer(link, append, true, Math.min(match, ledger.course.syncedIndex()));
         } else {
--- a/src/main/java/yewjunction/ledger/Leading.java
+++ b/src/main/java/yewjunction/ledger/Leading.java
@@ -24,6 +24,8 @@
     private long firstIndex;
     private long era;
     private boolean sending;
+    /** The next letters ask for an answer: a beat, or a question whether this member still leads. */
+    private boolean wanted;
     private boolean announced;
 
     /** How far a sibling is. */
@@ -96,6 +98,7 @@
             return;
         }
         tempo.beat(rounds.next());
+        wanted = true;
         sendAll();
         electorate.settle();
         if (ledger.leads() && !electorate.handing() && tempo.drags()) {
@@ -129,6 +132,7 @@
                     send(one.getKey(), one.getValue());
                 }
             }
+            wanted = false;
         }
     }
 
@@ -147,6 +151,7 @@
         append.prevTerm = log.termAt(append.prevIndex);
         append.commit = ledger.commit();
         append.round = rounds.newest();
+        append.quiet = !wanted;
         // A silent sibling gets beats only: what it misses would pile up on its link.
         if (!silent) {
             append.entries = log.slice(standing.next, APPEND_ENTRIES, APPEND_BYTES);
@@ -228,6 +233,7 @@
 
     void confirm(final Consumer<Boolean> done) {
         rounds.ask(done);
+        wanted = true;
         if (ledger.voters().size() == 1) {
             rounds.look(this);
         } else {
--- a/src/main/java/yewjunction/ledger/Ledger.java
+++ b/src/main/java/yewjunction/ledger/Ledger.java
@@ -73,6 +73,12 @@
         return archive.identity;
     }
 
+    /** A short name for an identity, from what was drawn at the start of the process: it travels in every letter. */
+    public static String drawnName(final long drawn) {
+        final String whole = Long.toString(drawn >>> 1, Character.MAX_RADIX);
+        return whole.substring(Math.max(0, whole.length() - 7));
+    }
+
     public static String address(final String identity) {
         return identity.substring(0, identity.indexOf('#'));
     }
@@ -155,7 +161,7 @@
     <T extends Letters.Letter> T addressed(final T letter, final String to) {
         letter.group = group;
         letter.from = archive.identity;
-        letter.to = to;
+        letter.to = to == null ? 0 : Letters.shortened(to);
         letter.term = archive.term;
         return letter;
     }
--- a/src/main/java/yewjunction/ledger/Letters.java
+++ b/src/main/java/yewjunction/ledger/Letters.java
@@ -14,14 +14,24 @@
             .know(14, Image.class).know(15, HandOver.class).know(16, Join.class);
     }
 
-    /** Common to all: the group, who speaks, to whom (full identities), in which term. */
+    /** Common to all: the group, who speaks, to whom, in which term. */
     abstract static class Letter {
         int group;
         String from;
-        String to;
+        /** The receiver's identity, shortened: it only checks that the letter is for it, and most letters cross zones. */
+        long to;
         long term;
     }
 
+    /** 0 stands for anyone. */
+    static long shortened(final String identity) {
+        long hash = 0xcbf29ce484222325L;
+        for (int at = 0; at < identity.length(); at++) {
+            hash = (hash ^ identity.charAt(at)) * 0x100000001b3L;
+        }
+        return hash >>> 1 | 1;
+    }
+
     /** For a vote, or, when pre is set, whether a vote would be given. */
     static final class Ask extends Letter {
         boolean pre;
@@ -40,6 +50,8 @@
         long prevTerm;
         long commit;
         long round;
+        /** No answer is needed when all is as the leader thinks. */
+        boolean quiet;
         List<Entry> entries = new ArrayList<>();
     }
 
--- a/src/main/java/yewjunction/ledger/Mail.java
+++ b/src/main/java/yewjunction/ledger/Mail.java
@@ -44,7 +44,7 @@
         ledger.post.on(kind, (link, letter) -> {
             // Another group, or an identity whose disk is gone: not for this member.
             final boolean forThis = letter.group == ledger.group && ledger.identity() != null
-                && (letter.to == null || letter.to.equals(ledger.identity()));
+                && (letter.to == 0 || letter.to == Letters.shortened(ledger.identity()));
             if (forThis && !ledger.stopped()) {
                 handler.accept(link, letter);
             }
--- a/src/main/java/yewjunction/node/CruxNode.java
+++ b/src/main/java/yewjunction/node/CruxNode.java
@@ -6,6 +6,7 @@
 import yewjunction.charter.Desk;
 import yewjunction.ledger.Clerk;
 import yewjunction.ledger.Disk;
+import yewjunction.ledger.Ledger;
 import yewjunction.roster.Roster;
 import yewjunction.settings.Settings;
 
@@ -28,7 +29,7 @@
 
     @Override
     public void start() {
-        crux.start(settings.founding(), settings.coreAddresses(), Long.toHexString(life));
+        crux.start(settings.founding(), settings.coreAddresses(), Ledger.drawnName(life));
         roster.ready(true);
     }
 
--- a/src/main/java/yewjunction/node/VaultNode.java
+++ b/src/main/java/yewjunction/node/VaultNode.java
@@ -57,7 +57,7 @@
     @Override
     public void start() {
         if (ledger.identity() == null) {
-            ledger.name(address + "#" + Long.toHexString(life));
+            ledger.name(address + "#" + Ledger.drawnName(life));
         }
         ledger.start();
         roster.ready(true);
