--- a/src/main/java/yewjunction/app/Main.java
+++ b/src/main/java/yewjunction/app/Main.java
@@ -92,6 +92,21 @@
         }
     }
 
+    @Command(name = "doctor", description = "Looks for common faults; changes nothing. 0 healthy, 1 findings, 2 could not look")
+    public static final class DoctorCommand implements Callable<Integer> {
+        @Option(name = "--settings", title = "FILE", description = "a machine's settings file; else the one named by " + SETTINGS_VARIABLE)
+        String file;
+        @Option(name = "--data", title = "FOLDER", description = "a data folder to read as well")
+        String folder;
+        @Option(name = "--json", description = "findings as JSON")
+        boolean json;
+
+        @Override
+        public Integer call() {
+            return Examination.run(file, folder, json, System.out, System.err);
+        }
+    }
+
     @Command(name = "rehearse", description = "Starts a whole small system on loopback, passes one message through it, and ends")
     public static final class RehearseCommand implements Callable<Integer> {
         @Override
@@ -107,6 +122,7 @@
         builder.withCommand(CruxCommand.class);
         builder.withCommand(CheckCommand.class);
         builder.withCommand(RehearseCommand.class);
+        builder.withCommand(DoctorCommand.class);
         return builder.build();
     }
 
@@ -131,7 +147,7 @@
             command = cli().parse(arguments);
         } catch (final ParseException defect) {
             System.err.println(defect.getMessage());
-            System.err.println("usage: yewjunction tide|crux|check|rehearse|help");
+            System.err.println("usage: yewjunction tide|crux|check|doctor|rehearse|help");
             return EXIT_USAGE;
         }
         return command.call();
--- a/src/main/java/yewjunction/app/Rehearsal.java
+++ b/src/main/java/yewjunction/app/Rehearsal.java
@@ -42,13 +42,7 @@
     static int run(final PrintStream out) throws IOException, InterruptedException {
         final Path folder = Files.createTempDirectory("yewjunction");
         try {
-            final Rehearsal rehearsal = new Rehearsal(folder, out);
-            rehearsal.start("127.0.0.1", "crux", "ctl", Duty.CRUX);
-            for (int i = 1; i <= 3; i++) {
-                rehearsal.start("127.0.0." + i, "vault" + i, "store", Duty.VAULT);
-            }
-            rehearsal.start("127.0.0.4", "tide", "edge", Duty.TIDE);
-            return rehearsal.play();
+            return raise(folder, out).play();
         } finally {
             try (var files = Files.walk(folder)) {
                 files.sorted(java.util.Comparator.reverseOrder()).forEach(file -> file.toFile().delete());
@@ -56,6 +50,17 @@
         }
     }
 
+    /** Starts the system in a folder; it runs until this process ends. */
+    static Rehearsal raise(final Path folder, final PrintStream out) throws IOException {
+        final Rehearsal rehearsal = new Rehearsal(folder, out);
+        rehearsal.start("127.0.0.1", "crux", "ctl", Duty.CRUX);
+        for (int i = 1; i <= 3; i++) {
+            rehearsal.start("127.0.0." + i, "vault" + i, "store", Duty.VAULT);
+        }
+        rehearsal.start("127.0.0.4", "tide", "edge", Duty.TIDE);
+        return rehearsal;
+    }
+
     private void start(final String ip, final String name, final String serves, final Duty duty) throws IOException {
         final Path file = folder.resolve(name + ".yaml");
         Files.writeString(file, "Nodename: " + name + "\nRole: " + name + "\nServes: [" + serves + "]\nIp: " + ip
@@ -68,7 +73,7 @@
         thread.start();
     }
 
-    private int play() throws IOException, InterruptedException {
+    int play() throws IOException, InterruptedException {
         final HttpClient caller = HttpClient.newHttpClient();
         final HttpRequest replace = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + (port + 6) + "/-/config/replace"))
             .header("Base-Version", "0").timeout(Duration.ofSeconds(2))
--- a/src/main/java/yewjunction/base/Limits.java
+++ b/src/main/java/yewjunction/base/Limits.java
@@ -170,6 +170,20 @@
     /** messages; one piece of a stream at most. */
     public static final int FLOW_ITEMS = 200;
 
+    // --- doctor ---
+    /** ms; one call of the doctor: a machine that takes longer is as good as silent. */
+    public static final int DOCTOR_CALL_MS = 1_500;
+    /** ms; between two looks: longer than an election, and than news of a sibling takes. */
+    public static final long DOCTOR_AGAIN_MS = 2_500;
+    /** ms; clocks further apart than this confuse whoever reads two logs; the Date header has whole seconds. */
+    public static final long DOCTOR_APART_MS = 3_000;
+    /** ms; a vault that has not called for several of its paces. */
+    public static final long DOCTOR_SILENT_MS = 5_000;
+    /** entries; a healthy vault is a second's messages behind at the most. */
+    public static final long DOCTOR_BEHIND = 2_000;
+    /** share of a disk above which a ledger file leaves too little room for its own rewriting. */
+    public static final double DOCTOR_FULL_SHARE = 0.4;
+
     // --- settings ---
     /** ms; pace of looking at the settings file. */
     public static final long SETTINGS_LOOK_MS = 1_000;
--- a/src/main/java/yewjunction/charter/Crux.java
+++ b/src/main/java/yewjunction/charter/Crux.java
@@ -31,7 +31,7 @@
         ledger.listen();
         final Registrar registrar = new Registrar(pulse, post, core, ledger, roster, voterCount);
         lessor = new Lessor(pulse, post, core, ledger, registrar);
-        desk = new Desk(core, ledger, registrar);
+        desk = new Desk(core, ledger, registrar, new Outlook(core, ledger, roster, registrar));
     }
 
     /** With an empty disk: a founder takes its place among the seeds, any other joins under a new name. */
--- a/src/main/java/yewjunction/charter/Desk.java
+++ b/src/main/java/yewjunction/charter/Desk.java
@@ -20,6 +20,7 @@
     private final Core core;
     private final Ledger ledger;
     private final Registrar registrar;
+    private final Outlook outlook;
     private final ArrayDeque<Runnable> queue = new ArrayDeque<>();
     private boolean busy;
 
@@ -37,7 +38,8 @@
     public record Errand(String method, String path, String base, byte[] body) {
     }
 
-    Desk(final Core core, final Ledger ledger, final Registrar registrar) {
+    Desk(final Core core, final Ledger ledger, final Registrar registrar, final Outlook outlook) {
+        this.outlook = outlook;
         this.core = core;
         this.ledger = ledger;
         this.registrar = registrar;
@@ -58,6 +60,8 @@
             answer.accept(Answer.deny(405, "METHOD_WRONG", "use " + wanted));
         } else if (errand.body.length > CONFIG_BYTES) {
             answer.accept(Answer.deny(413, "BODY_TOOBIG", "at most " + CONFIG_BYTES + " bytes"));
+        } else if (shape.equals("outlook show")) {
+            answer.accept(Answer.of(200, outlook.json()));
         } else if (!ledger.leads()) {
             answer.accept(elsewhere());
         } else {
@@ -77,6 +81,9 @@
                 default -> null;
             };
         }
+        if (segments.length == 4 && segments[1].equals("-") && segments[2].equals("outlook") && segments[3].equals("show")) {
+            return "outlook show";
+        }
         if (segments.length == 5 && segments[1].equals("-") && segments[2].equals("retire")) {
             return switch (segments[4]) {
                 case "begin", "show" -> "retire " + segments[4];
--- a/src/main/java/yewjunction/charter/Letters.java
+++ b/src/main/java/yewjunction/charter/Letters.java
@@ -31,6 +31,8 @@
         long life;
         /** A vault's ledger identity. */
         String identity = "";
+        /** How far a vault has applied its ledger. */
+        long applied;
         /** Nodes that hold no duty any more, told by the vault group's leader. */
         List<String> emptied = new ArrayList<>();
     }
--- /dev/null
+++ b/src/main/java/yewjunction/charter/Outlook.java
@@ -0,0 +1,46 @@
+package yewjunction.charter;
+
+import com.typesafe.config.ConfigRenderOptions;
+import com.typesafe.config.ConfigValueFactory;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import yewjunction.ledger.Ledger;
+import yewjunction.roster.Roster;
+import yewjunction.roster.Sibling;
+
+/** How the system looks from one crux, for operators and the doctor. Answered by any crux, from its own tables. */
+final class Outlook {
+    private final Core core;
+    private final Ledger ledger;
+    private final Roster roster;
+    private final Registrar registrar;
+
+    Outlook(final Core core, final Ledger ledger, final Roster roster, final Registrar registrar) {
+        this.core = core;
+        this.ledger = ledger;
+        this.roster = roster;
+        this.registrar = registrar;
+    }
+
+    String json() {
+        final Map<String, Object> page = new LinkedHashMap<>();
+        page.put("Nodename", roster.self().node);
+        page.put("Leads", ledger.leads());
+        page.put("Leader", ledger.leader() == null ? "" : Ledger.address(ledger.leader()));
+        page.put("Voters", ledger.voters().stream().map(Ledger::address).toList());
+        page.put("Votes", ledger.voters().contains(ledger.identity()));
+        page.put("Applied", ledger.applied());
+        page.put("Ver", core.version());
+        final List<Map<String, Object>> siblings = new ArrayList<>();
+        for (final Sibling sibling : roster.all()) {
+            siblings.add(Map.of("Nodename", sibling.node, "Duty", sibling.duty, "Az", sibling.zone,
+                "Addr", sibling.address, "Up", sibling.up(), "Suspect", sibling.suspect(), "Ready", sibling.ready));
+        }
+        page.put("Siblings", siblings);
+        // Only the leader hears from all vaults; on the others the list is empty.
+        page.put("Vaults", registrar.vaultRows());
+        return ConfigValueFactory.fromMap(page).render(ConfigRenderOptions.concise());
+    }
+}
--- a/src/main/java/yewjunction/charter/Registrar.java
+++ b/src/main/java/yewjunction/charter/Registrar.java
@@ -147,6 +147,13 @@
         return null;
     }
 
+    List<Map<String, Object>> vaultRows() {
+        final List<Map<String, Object>> rows = new ArrayList<>();
+        vaults.values().forEach(seen -> rows.add(Map.of("Nodename", seen.who.node, "Applied", seen.who.applied,
+            "SeenMs", pulse.nowMs() - seen.atMs)));
+        return rows;
+    }
+
     boolean knows(final String node) {
         return vault(node) != null || core.facts().retiring(node) != null;
     }
--- a/src/main/java/yewjunction/charter/Tenure.java
+++ b/src/main/java/yewjunction/charter/Tenure.java
@@ -62,6 +62,11 @@
         who.identity = identity;
     }
 
+    /** How far this vault's ledger is applied. */
+    public void applied(final long applied) {
+        who.applied = applied;
+    }
+
     /** Nodes that the vault group's leader has emptied. */
     public void emptied(final List<String> nodes) {
         who.emptied = new ArrayList<>(nodes);
--- /dev/null
+++ b/src/main/java/yewjunction/doctor/Caller.java
@@ -0,0 +1,45 @@
+package yewjunction.doctor;
+
+import java.io.IOException;
+import java.net.HttpURLConnection;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.time.ZonedDateTime;
+import java.time.format.DateTimeFormatter;
+import java.time.format.DateTimeParseException;
+
+/** One bounded look at an address. */
+final class Caller {
+    private final int timeoutMs;
+
+    Caller(final int timeoutMs) {
+        this.timeoutMs = timeoutMs;
+    }
+
+    /** What came back; status -1 for nothing. Clock: ms by which the far clock is ahead, null when not told. */
+    record Reply(int status, String body, Long clockMs) {
+    }
+
+    Reply get(final String address, final String path) {
+        try {
+            final HttpURLConnection link = (HttpURLConnection) URI.create("http://" + address + path).toURL().openConnection();
+            link.setConnectTimeout(timeoutMs);
+            link.setReadTimeout(timeoutMs);
+            link.setInstanceFollowRedirects(false);
+            final int status = link.getResponseCode();
+            final byte[] body = status >= 400 ? new byte[0] : link.getInputStream().readAllBytes();
+            return new Reply(status, new String(body, StandardCharsets.UTF_8), clock(link.getHeaderField("Date")));
+        } catch (final IOException | IllegalArgumentException defect) {
+            return new Reply(-1, String.valueOf(defect.getMessage()), null);
+        }
+    }
+
+    private static Long clock(final String date) {
+        try {
+            return date == null ? null
+                : ZonedDateTime.parse(date, DateTimeFormatter.RFC_1123_DATE_TIME).toInstant().toEpochMilli() - System.currentTimeMillis();
+        } catch (final DateTimeParseException defect) {
+            return null;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/yewjunction/doctor/Doctor.java
@@ -0,0 +1,169 @@
+package yewjunction.doctor;
+
+import com.typesafe.config.Config;
+import com.typesafe.config.ConfigException;
+import com.typesafe.config.ConfigFactory;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeMap;
+import yewjunction.doctor.Caller.Reply;
+import yewjunction.doctor.Finding.Code;
+import yewjunction.ledger.Health;
+import yewjunction.settings.Settings;
+
+import static yewjunction.base.Limits.DOCTOR_APART_MS;
+import static yewjunction.base.Limits.DOCTOR_BEHIND;
+import static yewjunction.base.Limits.DOCTOR_CALL_MS;
+import static yewjunction.base.Limits.DOCTOR_FULL_SHARE;
+import static yewjunction.base.Limits.DOCTOR_SILENT_MS;
+
+/** Looks once from where it runs: at the operator's addresses, this machine's readiness and its data folder. */
+public final class Doctor {
+    private final Settings settings;
+    private final Path dataFolder;
+    private final Caller caller = new Caller(DOCTOR_CALL_MS);
+    private final List<Finding> findings = new ArrayList<>();
+    private final TreeMap<String, Config> outlooks = new TreeMap<>();
+
+    /** The folder may be null: a machine without a disk, or not this machine's. */
+    public Doctor(final Settings settings, final Path dataFolder) {
+        this.settings = settings;
+        this.dataFolder = dataFolder;
+    }
+
+    private void found(final Code code, final String seen, final String todo) {
+        findings.add(new Finding(code, seen, todo));
+    }
+
+    public List<Finding> examine() {
+        settings.seeds().stream().distinct().forEach(this::seed);
+        if (!outlooks.isEmpty()) {
+            core();
+            siblings();
+            vaults();
+        }
+        if (!settings.ready().isEmpty()) {
+            final Reply reply = caller.get(settings.ready(), "/-/readyz");
+            if (reply.status() == -1) {
+                found(Code.READY_SILENT, settings.ready() + ": " + reply.body(), "see whether the edge's process runs");
+            }
+        }
+        if (dataFolder != null) {
+            folder();
+        }
+        return findings;
+    }
+
+    private void seed(final String seed) {
+        final Reply reply = caller.get(seed, "/-/outlook/show");
+        if (reply.status() == -1) {
+            found(Code.SEED_SILENT, seed + ": " + reply.body(), "see whether the crux there runs and can be reached from here");
+            return;
+        }
+        if (reply.clockMs() != null && Math.abs(reply.clockMs()) > DOCTOR_APART_MS) {
+            found(Code.CLOCK_APART, seed + ": its clock is " + reply.clockMs() + " ms ahead of this one", "set the clocks");
+        }
+        try {
+            if (reply.status() != 200) {
+                throw new ConfigException.Generic("status " + reply.status());
+            }
+            final Config outlook = ConfigFactory.parseString(reply.body());
+            outlook.getBoolean("Leads");
+            outlooks.put(seed, outlook);
+        } catch (final ConfigException defect) {
+            found(Code.SEED_ODD, seed + ": " + defect.getMessage(), "see what listens there; releases too far apart?");
+        }
+    }
+
+    private void core() {
+        final List<String> leaders = new ArrayList<>();
+        final Set<Long> versions = new HashSet<>();
+        for (final var one : outlooks.entrySet()) {
+            final Config outlook = one.getValue();
+            if (outlook.getBoolean("Leads")) {
+                leaders.add(one.getKey());
+            }
+            if (!outlook.getBoolean("Votes")) {
+                found(Code.CRUX_OUTSIDE, one.getKey() + " does not vote", "a wiped crux joins within seconds; if not, see its log");
+            }
+            versions.add(outlook.getLong("Ver"));
+        }
+        final Set<String> named = new HashSet<>();
+        outlooks.values().forEach(outlook -> named.add(outlook.getString("Leader")));
+        named.remove("");
+        if (leaders.isEmpty() && named.isEmpty()) {
+            found(Code.NO_LEADER, "no crux leads or knows who does", "bring back cruxes until more than half of the voters run");
+        } else if (leaders.size() > 1 || named.size() > 1) {
+            found(Code.LEADERS_DIFFER, leaders + " lead, " + named + " are named", "look again; if it stays, cruxes are cut off");
+        }
+        final Config first = outlooks.firstEntry().getValue();
+        final List<String> voters = first.getStringList("Voters");
+        if (outlooks.size() * 2 <= voters.size()) {
+            found(Code.VOTERS_FEW, outlooks.size() + " of " + voters.size() + " voters answer", "bring back the silent cruxes");
+        }
+        if (versions.size() > 1) {
+            found(Code.VERSIONS_DIFFER, "versions " + versions, "look again; if it stays, a crux is behind or cut off");
+        }
+        if (versions.equals(Set.of(0L))) {
+            found(Code.NO_CONFIG, "no configuration has been taken", "send one with Base-Version 0");
+        }
+    }
+
+    private void siblings() {
+        final TreeMap<String, Config> known = new TreeMap<>();
+        outlooks.values().forEach(outlook -> outlook.getConfigList("Siblings").forEach(one -> known.put(one.getString("Addr"), one)));
+        for (final Config sibling : known.values()) {
+            final String name = sibling.getString("Nodename") + " (" + sibling.getString("Duty") + ")";
+            if (sibling.getBoolean("Suspect") || !sibling.getBoolean("Up")) {
+                found(Code.SIBLING_SUSPECT, name + " does not answer probes", "see whether it runs; it may just be stopping");
+            } else if (sibling.getString("Duty").equals("tide") && !sibling.getBoolean("Ready")) {
+                found(Code.EDGE_NOT_READY, name + " takes no clients", "see its log: no lease, no home vault, or draining");
+            }
+        }
+    }
+
+    private void vaults() {
+        final List<? extends Config> rows = outlooks.values().stream().filter(outlook -> outlook.getBoolean("Leads"))
+            .findFirst().map(outlook -> outlook.getConfigList("Vaults")).orElse(null);
+        // Only the leader hears from all vaults: without its word nothing can be said of them.
+        if (rows == null) {
+            return;
+        }
+        final int needed = 2 * Math.max(1, settings.lossesBorne()) + 1;
+        long newest = 0;
+        int heard = 0;
+        for (final Config row : rows) {
+            newest = Math.max(newest, row.getLong("Applied"));
+            heard += row.getLong("SeenMs") < DOCTOR_SILENT_MS ? 1 : 0;
+        }
+        if (heard < needed) {
+            found(Code.VAULTS_FEW, heard + " vaults call, " + needed + " bear the losses named", "bring back or add store machines");
+        }
+        for (final Config row : rows) {
+            if (row.getLong("SeenMs") >= DOCTOR_SILENT_MS) {
+                found(Code.VAULT_SILENT, row.getString("Nodename") + " last called " + row.getLong("SeenMs") + " ms ago", "see whether it runs");
+            } else if (newest - row.getLong("Applied") > DOCTOR_BEHIND) {
+                found(Code.VAULT_BEHIND, row.getString("Nodename") + " is " + (newest - row.getLong("Applied")) + " entries behind",
+                    "a spare one holds nothing; a voter catches up, else see its disk and links");
+            }
+        }
+    }
+
+    private void folder() {
+        for (final Health health : Health.look(dataFolder)) {
+            if (health.damaged()) {
+                found(Code.LEDGER_DAMAGED, health.file() + ": bad record at byte " + health.goodBytes(),
+                    "if the other voters are well, empty the folder: the machine joins anew");
+            } else if (health.goodBytes() < health.bytes()) {
+                found(Code.LEDGER_TORN, health.file() + ": " + (health.bytes() - health.goodBytes()) + " bytes at the end are no record",
+                    "nothing: a running process is writing, or they are cut at the next start");
+            }
+            if (settings.diskMb() > 0 && health.bytes() > DOCTOR_FULL_SHARE * settings.diskMb() * 1_048_576) {
+                found(Code.DISK_NEAR_FULL, health.file() + " has " + (health.bytes() >> 20) + " MB of " + settings.diskMb(), "give it a larger disk");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/yewjunction/doctor/Finding.java
@@ -0,0 +1,11 @@
+package yewjunction.doctor;
+
+/** Something that is wrong: a code, what was seen, what to do. */
+public record Finding(Code code, String seen, String todo) {
+    /** Codes of findings; the operators' page lists them. */
+    public enum Code {
+        SEED_SILENT, SEED_ODD, NO_LEADER, LEADERS_DIFFER, VOTERS_FEW, CRUX_OUTSIDE, VERSIONS_DIFFER, NO_CONFIG,
+        EDGE_NOT_READY, SIBLING_SUSPECT, VAULTS_FEW, VAULT_BEHIND, VAULT_SILENT, CLOCK_APART,
+        LEDGER_DAMAGED, LEDGER_TORN, DISK_NEAR_FULL, READY_SILENT
+    }
+}
--- a/src/main/java/yewjunction/node/VaultNode.java
+++ b/src/main/java/yewjunction/node/VaultNode.java
@@ -68,6 +68,7 @@
 
     /** Joins where a place is free, and empties what the core wants emptied. */
     private void settleDuties() {
+        tenure.applied(ledger.applied());
         final List<String> voters = ledger.voters();
         if (!voters.contains(ledger.identity()) && !tenure.facts().vaults().isEmpty()) {
             final boolean wanted = wantsVote(voters);
--- a/src/main/java/yewjunction/roster/Sibling.java
+++ b/src/main/java/yewjunction/roster/Sibling.java
@@ -39,6 +39,10 @@
         return standing <= SUSPECT;
     }
 
+    public boolean suspect() {
+        return standing == SUSPECT;
+    }
+
     /** Whether this news goes over what is known: a higher number wins, then the worse standing. */
     boolean over(final Sibling known) {
         return number > known.number || number == known.number && standing > known.standing;
--- a/src/main/java/yewjunction/settings/Settings.java
+++ b/src/main/java/yewjunction/settings/Settings.java
@@ -20,7 +20,8 @@
 /** What a process is told. Unknown fields are ignored; missing or bad ones are named. */
 public record Settings(String node, String role, List<String> serves, String ip, String zone, String front, String ready,
         String control, int firstPort, int lastPort, List<String> seeds, boolean founding, String dataFolder,
-        int lossesBorne, double pingS, double quotaWindowS, double quotaExcess, double quotaSlack) {
+        int lossesBorne, double pingS, double quotaWindowS, double quotaExcess, double quotaSlack,
+        long diskMb) {
     /** Which of the program's ports of a machine is whose: two processes share one machine. */
     public static final int TIDE_OFFSET = 0;
     public static final int CRUX_OFFSET = 1;
@@ -70,7 +71,7 @@
             Boolean.TRUE.equals(map.get("Bootstrap")), disk ? text(map, "Datadir") : "",
             (int) number(tolerate, "Mach", "Tolerate.Mach", 1), number(bounds, "PingS", "Bounds.PingS", 2),
             number(bounds, "QuotaWinS", "Bounds.QuotaWinS", 5), number(bounds, "QuotaExcess", "Bounds.QuotaExcess", 0),
-            number(bounds, "QuotaSlack", "Bounds.QuotaSlack", 0));
+            number(bounds, "QuotaSlack", "Bounds.QuotaSlack", 0), (long) number(map(map, "Lims"), "DiskMb", "Lims.DiskMb", 0));
     }
 
     private static Map<?, ?> map(final Map<?, ?> from, final String field) {
--- /dev/null
+++ b/src/test/java/yewjunction/app/DoctorTest.java
@@ -0,0 +1,136 @@
+package yewjunction.app;
+
+import com.sun.net.httpserver.HttpServer;
+import com.typesafe.config.ConfigFactory;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import yewjunction.doctor.Doctor;
+import yewjunction.doctor.Finding.Code;
+import yewjunction.settings.Settings;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** The doctor against a healthy system and against broken ones. */
+class DoctorTest {
+    private final List<HttpServer> servers = new ArrayList<>();
+
+    @AfterEach
+    void close() {
+        servers.forEach(server -> server.stop(0));
+    }
+
+    /** A crux that answers with this page; the address it listens on. */
+    private String serve(final int status, final String body) throws IOException {
+        final HttpServer server = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
+        server.createContext("/", exchange -> {
+            final byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+            exchange.sendResponseHeaders(status, bytes.length);
+            try (OutputStream out = exchange.getResponseBody()) {
+                out.write(bytes);
+            }
+        });
+        server.start();
+        servers.add(server);
+        return "127.0.0.1:" + server.getAddress().getPort();
+    }
+
+    private static String outlook(final boolean leads, final String leader, final boolean votes, final int version,
+            final String siblings, final String vaults) {
+        return "{\"Nodename\":\"n\",\"Leads\":" + leads + ",\"Leader\":\"" + leader + "\",\"Votes\":" + votes
+            + ",\"Voters\":[\"a:1\",\"b:1\",\"c:1\"],\"Applied\":9,\"Ver\":" + version + ",\"Siblings\":[" + siblings
+            + "],\"Vaults\":[" + vaults + "]}";
+    }
+
+    private static String closedAddress() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return "127.0.0.1:" + socket.getLocalPort();
+        }
+    }
+
+    private static Settings settings(final List<String> seeds) {
+        return new Settings("n", "crux", List.of("ctl"), "127.0.0.1", "z", "", "", "127.0.0.1:1", 7000, 7015, seeds, false,
+            "/data", 1, 2, 5, 0.1, 20, 1);
+    }
+
+    private static Set<Code> codes(final Settings settings, final Path folder) {
+        final Set<Code> codes = new TreeSet<>();
+        new Doctor(settings, folder).examine().forEach(finding -> codes.add(finding.code()));
+        return codes;
+    }
+
+    @Test
+    void aHealthySystemHasNoFindings(@TempDir final Path folder) throws Exception {
+        final ByteArrayOutputStream out = new ByteArrayOutputStream();
+        final PrintStream print = new PrintStream(out, true);
+        assertEquals(Main.EXIT_OK, Rehearsal.raise(folder, print).play(), out.toString());
+        final String settings = folder.resolve("tide.yaml").toString();
+        assertEquals(Main.EXIT_OK, Examination.run(settings, folder.resolve("vault1").toString(), false, print, print), out.toString());
+        assertTrue(out.toString().endsWith("healthy\n"), out.toString());
+    }
+
+    @Test
+    void silentAndOddSeedsAndAMissingLeaderAreTold() throws IOException {
+        final String alone = serve(200, outlook(false, "", true, 3, "", ""));
+        assertEquals(Set.of(Code.SEED_SILENT, Code.SEED_ODD, Code.NO_LEADER, Code.VOTERS_FEW),
+            codes(settings(List.of(closedAddress(), serve(500, ""), alone)), null));
+    }
+
+    @Test
+    void disagreementAndOutsidersAreTold() throws IOException {
+        assertEquals(Set.of(Code.LEADERS_DIFFER, Code.VERSIONS_DIFFER, Code.CRUX_OUTSIDE, Code.VAULTS_FEW),
+            codes(settings(List.of(serve(200, outlook(true, "a:1", true, 3, "", "")), serve(200, outlook(true, "b:1", true, 4, "", "")),
+                serve(200, outlook(false, "a:1", false, 3, "", "")))), null));
+    }
+
+    @Test
+    void edgesAndVaultsInTroubleAreTold() throws IOException {
+        final String siblings = "{\"Nodename\":\"e1\",\"Duty\":\"tide\",\"Az\":\"z\",\"Addr\":\"1\",\"Up\":true,\"Suspect\":false,\"Ready\":false},"
+            + "{\"Nodename\":\"e2\",\"Duty\":\"tide\",\"Az\":\"z\",\"Addr\":\"2\",\"Up\":true,\"Suspect\":true,\"Ready\":true}";
+        final String vaults = "{\"Nodename\":\"v1\",\"Applied\":9000,\"SeenMs\":10},{\"Nodename\":\"v2\",\"Applied\":20,\"SeenMs\":10},"
+            + "{\"Nodename\":\"v3\",\"Applied\":9000,\"SeenMs\":60000}";
+        final List<String> seeds = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            seeds.add(serve(200, outlook(i == 0, "a:1", true, 3, siblings, i == 0 ? vaults : "")));
+        }
+        assertEquals(Set.of(Code.EDGE_NOT_READY, Code.SIBLING_SUSPECT, Code.VAULTS_FEW, Code.VAULT_BEHIND, Code.VAULT_SILENT),
+            codes(settings(seeds), null));
+    }
+
+    @Test
+    void aDataFolderIsReadAndLeftAsItIs(@TempDir final Path folder) throws Exception {
+        final byte[] large = new byte[700_000];
+        Files.write(folder.resolve("messages"), large);
+        Files.write(folder.resolve("other"), large);
+        final Set<Code> codes = codes(settings(List.of()), folder);
+        assertEquals(Set.of(Code.LEDGER_TORN, Code.DISK_NEAR_FULL), codes);
+        assertArrayEquals(large, Files.readAllBytes(folder.resolve("messages")));
+    }
+
+    @Test
+    void findingsComeAsJsonAndWithTheirCodes(@TempDir final Path folder) throws Exception {
+        final ByteArrayOutputStream out = new ByteArrayOutputStream();
+        final PrintStream print = new PrintStream(out, true);
+        final Path file = Files.writeString(folder.resolve("s.yaml"), "Nodename: n\nRole: r\nServes: []\nIp: 127.0.0.1\nAz: z\n"
+            + "PortRange: [7000, 7015]\nSeeds: ['" + closedAddress() + "']\n");
+        assertEquals(1, Examination.run(file.toString(), null, true, print, print));
+        assertEquals("SEED_SILENT", ConfigFactory.parseString("{\"All\":" + out + "}").getConfigList("All").get(0).getString("Code"));
+        assertEquals(2, Examination.run(folder.resolve("none").toString(), null, false, print, print));
+        assertEquals(2, Examination.run(file.toString(), folder.resolve("none").toString(), false, print, print));
+    }
+}
--- a/src/test/java/yewjunction/system/Town.java
+++ b/src/test/java/yewjunction/system/Town.java
@@ -59,7 +59,7 @@
         final String ip = address.substring(0, address.indexOf(':'));
         final String duty = duty(address);
         final Settings settings = new Settings("node-" + address, duty, List.of(duty), ip, zone(address), ip + ":8022",
-            ip + ":8029", ip + ":8024", PORT, PORT + 15, seeds, founding, "/data", 1, 2, 5, 0.1, 20);
+            ip + ":8029", ip + ":8024", PORT, PORT + 15, seeds, founding, "/data", 1, 2, 5, 0.1, 20, 64);
         final Sibling self = new Sibling();
         self.address = address;
         self.node = settings.node();
