--- a/src/main/java/yewjunction/base/Limits.java
+++ b/src/main/java/yewjunction/base/Limits.java
@@ -165,6 +165,8 @@
     public static final long HOME_BEAT_MS = 300;
     /** ms; an edge leaves a home that is silent for this long. */
     public static final long HOME_SILENCE_MS = 1_000;
+    /** ms; an edge that fled to another zone's vault goes back once its own has been up for this long. */
+    public static final long HOME_RETURN_MS = 2_000;
     /** ms; an edge without a home for this long calls itself not ready. */
     public static final long HOMELESS_MS = 3_000;
     /** messages; one piece of a stream at most. */
--- a/src/main/java/yewjunction/herald/Envoy.java
+++ b/src/main/java/yewjunction/herald/Envoy.java
@@ -17,6 +17,7 @@
 import yewjunction.weave.Weave;
 
 import static yewjunction.base.Limits.HOME_BEAT_MS;
+import static yewjunction.base.Limits.HOME_RETURN_MS;
 import static yewjunction.base.Limits.HOME_SILENCE_MS;
 
 /** An edge's side of its home: attaches, follows the stream without gap, moves on when the home is lost. */
@@ -105,7 +106,7 @@
         final List<String> known = vaults.get();
         if (known.isEmpty() || known.get(0).equals(home.remote())) {
             returnMs = nowMs;
-        } else if (nowMs - returnMs > 4 * HOME_SILENCE_MS) {
+        } else if (nowMs - returnMs > HOME_RETURN_MS) {
             returnMs = nowMs;
             shot = 0;
             leave();
@@ -154,8 +155,12 @@
 
     private void closed(final Link link) {
         if (link == home) {
+            // A link that broke may be the link's own trouble: the same home is asked first, and only one that
+            // does not take this edge again is given up for another zone's.
+            if (!welcomed) {
+                shot++;
+            }
             leave();
-            shot++;
             attach();
         }
     }
