--- a/src/main/java/yewjunction/app/Examination.java
+++ b/src/main/java/yewjunction/app/Examination.java
@@ -15,6 +15,7 @@
 import yewjunction.doctor.Finding;
 import yewjunction.doctor.Finding.Code;
 import yewjunction.settings.Settings;
+import yewjunction.window.Windows;
 
 import static yewjunction.base.Limits.DOCTOR_AGAIN_MS;
 
@@ -29,7 +30,8 @@
     private Examination() {
     }
 
-    static int run(final String file, final String folder, final boolean json, final PrintStream out, final PrintStream err) {
+    static int run(final String file, final String folder, final String calendar, final boolean json, final PrintStream out,
+            final PrintStream err) {
         final String named = file != null ? file : System.getenv(Main.SETTINGS_VARIABLE);
         if (named == null) {
             err.println("no settings file: set " + Main.SETTINGS_VARIABLE + " or give --settings FILE");
@@ -39,9 +41,10 @@
             err.println("no such folder: " + folder);
             return COULD_NOT_LOOK;
         }
+        final Windows windows = calendar == null ? null : Windows.read(Path.of(calendar));
         final List<Finding> findings;
         try {
-            findings = lasting(Settings.load(Path.of(named)), folder == null ? null : Path.of(folder));
+            findings = lasting(Settings.load(Path.of(named)), folder == null ? null : Path.of(folder), windows);
         } catch (final Defect defect) {
             err.println(defect.code() + " " + defect.getMessage());
             return COULD_NOT_LOOK;
@@ -54,8 +57,8 @@
     }
 
     /** What the second look finds too: elections, roll-outs and starts pass within moments, and news of them a little later. */
-    private static List<Finding> lasting(final Settings settings, final Path folder) {
-        final List<Finding> first = new Doctor(settings, folder).examine();
+    private static List<Finding> lasting(final Settings settings, final Path folder, final Windows windows) {
+        final List<Finding> first = new Doctor(settings, folder).planned(windows).examine();
         if (first.stream().noneMatch(finding -> PASSING.contains(finding.code()))) {
             return first;
         }
@@ -64,7 +67,7 @@
         } catch (final InterruptedException defect) {
             Thread.currentThread().interrupt();
         }
-        final List<Finding> second = new Doctor(settings, folder).examine();
+        final List<Finding> second = new Doctor(settings, folder).planned(windows).examine();
         second.removeIf(finding -> PASSING.contains(finding.code())
             && first.stream().noneMatch(earlier -> earlier.code() == finding.code()));
         return second;
@@ -73,9 +76,10 @@
     private static void tell(final List<Finding> findings, final boolean json, final PrintStream out) {
         if (json) {
             out.println(ConfigValueFactory.fromIterable(findings.stream().map(finding -> Map.of("Code", finding.code().name(),
-                "Seen", finding.seen(), "Todo", finding.todo())).toList()).render(ConfigRenderOptions.concise()));
+                "Seen", finding.seen(), "Todo", finding.todo(), "Planned", finding.planned())).toList()).render(ConfigRenderOptions.concise()));
         } else {
-            findings.forEach(finding -> out.println(finding.code() + ": " + finding.seen() + "\n    do: " + finding.todo()));
+            findings.forEach(finding -> out.println(finding.code() + ": " + finding.seen() + "\n    do: " + finding.todo()
+                + (finding.planned().isEmpty() ? "" : "\n    planned: " + finding.planned())));
             out.println(findings.isEmpty() ? "healthy" : findings.size() + " findings");
         }
     }
--- a/src/main/java/yewjunction/app/Main.java
+++ b/src/main/java/yewjunction/app/Main.java
@@ -98,12 +98,14 @@
         String file;
         @Option(name = "--data", title = "FOLDER", description = "a data folder to read as well")
         String folder;
+        @Option(name = "--calendar", title = "PLACE", description = "an iCalendar file, or a folder of them, with planned work")
+        String calendar;
         @Option(name = "--json", description = "findings as JSON")
         boolean json;
 
         @Override
         public Integer call() {
-            return Examination.run(file, folder, json, System.out, System.err);
+            return Examination.run(file, folder, calendar, json, System.out, System.err);
         }
     }
 
--- a/src/main/java/yewjunction/base/Limits.java
+++ b/src/main/java/yewjunction/base/Limits.java
@@ -186,6 +186,12 @@
     /** share of a disk above which a ledger file leaves too little room for its own rewriting. */
     public static final double DOCTOR_FULL_SHARE = 0.4;
 
+    // --- maintenance windows ---
+    /** bytes; a calendar file at most: far above years of planned work. */
+    public static final long WINDOW_FILE_BYTES = 4 << 20;
+    /** starts of a recurrence looked at near a moment. */
+    public static final int WINDOW_TURNS = 1_000;
+
     // --- settings ---
     /** ms; pace of looking at the settings file. */
     public static final long SETTINGS_LOOK_MS = 1_000;
--- a/src/main/java/yewjunction/doctor/Doctor.java
+++ b/src/main/java/yewjunction/doctor/Doctor.java
@@ -4,6 +4,7 @@
 import com.typesafe.config.ConfigException;
 import com.typesafe.config.ConfigFactory;
 import java.nio.file.Path;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -13,6 +14,7 @@
 import yewjunction.doctor.Finding.Code;
 import yewjunction.ledger.Health;
 import yewjunction.settings.Settings;
+import yewjunction.window.Windows;
 
 import static yewjunction.base.Limits.DOCTOR_APART_MS;
 import static yewjunction.base.Limits.DOCTOR_BEHIND;
@@ -24,6 +26,7 @@
 public final class Doctor {
     private final Settings settings;
     private final Path dataFolder;
+    private Windows windows;
     private final Caller caller = new Caller(DOCTOR_CALL_MS);
     private final List<Finding> findings = new ArrayList<>();
     private final TreeMap<String, Config> outlooks = new TreeMap<>();
@@ -34,8 +37,15 @@
         this.dataFolder = dataFolder;
     }
 
-    private void found(final Code code, final String seen, final String todo) {
-        findings.add(new Finding(code, seen, todo));
+    /** Planned work that explains a finding is named beside it. */
+    public Doctor planned(final Windows chosenWindows) {
+        windows = chosenWindows;
+        return this;
+    }
+
+    private void found(final Code code, final String seen, final String todo, final String... names) {
+        final String planned = windows == null || names.length == 0 ? null : windows.explains(Instant.now(), List.of(names));
+        findings.add(planned == null ? new Finding(code, seen, todo) : new Finding(code, seen, todo, planned));
     }
 
     public List<Finding> examine() {
@@ -54,6 +64,9 @@
         if (dataFolder != null) {
             folder();
         }
+        if (windows != null) {
+            windows.bad().forEach(one -> found(Code.CALENDAR_BAD, one, "mend the calendar file; the others count"));
+        }
         return findings;
     }
 
@@ -118,9 +131,11 @@
         for (final Config sibling : known.values()) {
             final String name = sibling.getString("Nodename") + " (" + sibling.getString("Duty") + ")";
             if (sibling.getBoolean("Suspect") || !sibling.getBoolean("Up")) {
-                found(Code.SIBLING_SUSPECT, name + " does not answer probes", "see whether it runs; it may just be stopping");
+                found(Code.SIBLING_SUSPECT, name + " does not answer probes", "see whether it runs; it may just be stopping",
+                    sibling.getString("Nodename"), sibling.getString("Az"));
             } else if (sibling.getString("Duty").equals("tide") && !sibling.getBoolean("Ready")) {
-                found(Code.EDGE_NOT_READY, name + " takes no clients", "see its log: no lease, no home vault, or draining");
+                found(Code.EDGE_NOT_READY, name + " takes no clients", "see its log: no lease, no home vault, or draining",
+                    sibling.getString("Nodename"), sibling.getString("Az"));
             }
         }
     }
@@ -144,10 +159,11 @@
         }
         for (final Config row : rows) {
             if (row.getLong("SeenMs") >= DOCTOR_SILENT_MS) {
-                found(Code.VAULT_SILENT, row.getString("Nodename") + " last called " + row.getLong("SeenMs") + " ms ago", "see whether it runs");
+                found(Code.VAULT_SILENT, row.getString("Nodename") + " last called " + row.getLong("SeenMs") + " ms ago", "see whether it runs",
+                    row.getString("Nodename"));
             } else if (newest - row.getLong("Applied") > DOCTOR_BEHIND) {
                 found(Code.VAULT_BEHIND, row.getString("Nodename") + " is " + (newest - row.getLong("Applied")) + " entries behind",
-                    "a spare one holds nothing; a voter catches up, else see its disk and links");
+                    "a spare one holds nothing; a voter catches up, else see its disk and links", row.getString("Nodename"));
             }
         }
     }
