--- a/src/main/java/yewjunction/base/Limits.java
+++ b/src/main/java/yewjunction/base/Limits.java
@@ -117,6 +117,8 @@
     // --- charter ---
     /** ms; pace of a tide's renewal of its lease. */
     public static final long LEASE_PACE_MS = 600;
+    /** ms; the pace of a process that has no configuration yet: clients wait for it. */
+    public static final long LEASE_FIRST_MS = 120;
     /** ms; counted from when the renewal was asked for; below ApplyMs and RevokeMs of every deployment. */
     public static final long LEASE_MS = 2_500;
     /** ms; a home asks the leader at most this often, for all who asked meanwhile. */
--- a/src/main/java/yewjunction/charter/Core.java
+++ b/src/main/java/yewjunction/charter/Core.java
@@ -22,6 +22,7 @@
     /** All of the state, as a snapshot holds it. */
     static final class Image {
         String json;
+        long version;
         List<Taken> taken = new ArrayList<>();
         Facts facts = new Facts();
     }
@@ -52,10 +53,19 @@
     }
 
     long version() {
-        return current == null ? 0 : current.version();
+        return image.version;
+    }
+
+    /** The configuration as text, null before the first. */
+    String json() {
+        return image.json;
     }
 
+    /** Read only when a change builds on it: after a loss of power every moment of a crux's start is service lost. */
     Charter current() {
+        if (current == null && image.json != null) {
+            current = Charter.read(image.json);
+        }
         return current;
     }
 
@@ -80,21 +90,21 @@
     }
 
     private void config(final Deed deed) {
-        final Charter next = Charter.read(deed.json);
-        // Invariant: versions only rise, each on top of the one it names.
-        if (deed.base != version() || next.version() <= version()) {
-            throw new IllegalStateException("version " + next.version() + " on " + deed.base + " after " + version());
+        // Invariant: versions only rise, each on top of the one it names. The text was checked before it came here.
+        if (deed.base != image.version || deed.version <= image.version) {
+            throw new IllegalStateException("version " + deed.version + " on " + deed.base + " after " + image.version);
         }
-        current = next;
+        current = null;
         image.json = deed.json;
+        image.version = deed.version;
         final Taken taken = new Taken();
-        taken.version = next.version();
+        taken.version = deed.version;
         taken.digest = deed.digest;
         image.taken.add(taken);
         if (image.taken.size() > TAKEN_VERSIONS) {
             image.taken.remove(0);
         }
-        Event.CONFIG_TAKEN.info("version " + next.version());
+        Event.CONFIG_TAKEN.info("version " + deed.version);
         watcher.configChanged();
     }
 
@@ -123,6 +133,7 @@
                     return false;
                 }
                 facts.vaults.addAll(deed.identities);
+                facts.vaultZones.addAll(deed.zones);
                 Event.VAULTS_CHOSEN.info(String.valueOf(deed.identities));
             }
             case Deed.RETIRE -> {
@@ -161,7 +172,7 @@
         if (image.facts == null) {
             image.facts = new Facts();
         }
-        current = image.json == null ? null : Charter.read(image.json);
+        current = null;
         watcher.configChanged();
         watcher.factsChanged();
     }
--- a/src/main/java/yewjunction/charter/Deed.java
+++ b/src/main/java/yewjunction/charter/Deed.java
@@ -15,6 +15,7 @@
     int kind;
     /** CONFIG: the whole of it, the version it builds on, and the digest of the errand that brought it. */
     String json = "";
+    long version;
     long base;
     String digest = "";
     /** REPLICA, RETIRE. */
@@ -25,6 +26,7 @@
     long name;
     /** VAULTS. */
     List<String> identities = new ArrayList<>();
+    List<String> zones = new ArrayList<>();
 
     Deed() {
     }
--- a/src/main/java/yewjunction/charter/Desk.java
+++ b/src/main/java/yewjunction/charter/Desk.java
@@ -104,8 +104,8 @@
     private void show(final Consumer<Answer> answer) {
         // Only a leader that a majority confirms knows the newest version.
         ledger.confirm(held -> answer.accept(!held ? elsewhere()
-            : core.current() == null ? Answer.deny(404, "NO_CONFIG", "no configuration has been taken")
-            : Answer.of(200, core.current().json())));
+            : core.json() == null ? Answer.deny(404, "NO_CONFIG", "no configuration has been taken")
+            : Answer.of(200, core.json())));
     }
 
     /** One change at a time, so that each is checked against the one before. */
@@ -160,6 +160,7 @@
                 return Answer.deny(400, CONFIG_VERSION.name(), "Ver: must be above " + core.version());
             }
             deed.json = next.json();
+            deed.version = next.version();
             final boolean taken = ledger.propose(Core.bytes(deed), done -> {
                 answer.accept(done ? Answer.of(200, "{\"Ver\":" + next.version() + "}")
                     : Answer.deny(503, "NO_LEADER", "the leader changed, ask again"));
@@ -174,7 +175,7 @@
     }
 
     private Charter updated(final Config update) {
-        if (core.current() == null) {
+        if (core.json() == null) {
             throw new Defect(CONFIG_VERSION, "there is no configuration to update");
         }
         if (!update.hasPath("Ver")) {
--- a/src/main/java/yewjunction/charter/Facts.java
+++ b/src/main/java/yewjunction/charter/Facts.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import yewjunction.ledger.Ledger;
 
 /** What the core has decided besides the configuration. */
 public final class Facts {
@@ -12,6 +13,8 @@
     List<Replica> replicas = new ArrayList<>();
     /** The first voters of the vaults' ledger; later changes are that ledger's own. */
     List<String> vaults = new ArrayList<>();
+    /** Their zones, in the same order. */
+    List<String> vaultZones = new ArrayList<>();
     List<Retiring> retiring = new ArrayList<>();
 
     static final class Replica {
@@ -64,6 +67,18 @@
         return vaults;
     }
 
+    /** Addresses of the first voters in a zone, or in all others. */
+    public List<String> vaultAddresses(final String zone, final boolean inside) {
+        final List<String> addresses = new ArrayList<>();
+        for (int place = 0; place < vaults.size(); place++) {
+            final boolean there = place < vaultZones.size() && vaultZones.get(place).equals(zone);
+            if (there == inside) {
+                addresses.add(Ledger.address(vaults.get(place)));
+            }
+        }
+        return addresses;
+    }
+
     /** Addresses of vaults that are to hold no duty. */
     public Set<String> retiringAddresses() {
         final Set<String> addresses = new HashSet<>();
--- a/src/main/java/yewjunction/charter/Lessor.java
+++ b/src/main/java/yewjunction/charter/Lessor.java
@@ -103,6 +103,7 @@
 
     /** Somebody leads now: whoever waited is served at once. */
     void leaderChanged() {
+        registrar.leaderChanged();
         underWay = new ArrayList<>();
         askedMs = 0;
         ask();
@@ -152,7 +153,7 @@
         final Lease lease = new Lease();
         lease.version = core.version();
         if (known.version < core.version()) {
-            lease.json = core.current().json();
+            lease.json = core.json();
             known.version = core.version();
         }
         if (known.factsNumber < core.facts().number) {
--- a/src/main/java/yewjunction/charter/Registrar.java
+++ b/src/main/java/yewjunction/charter/Registrar.java
@@ -28,6 +28,7 @@
     private final int voterCount;
     private final Map<String, Seen> vaults = new TreeMap<>();
     private final Map<String, Long> goneMs = new HashMap<>();
+    private final Map<String, Who> early = new TreeMap<>();
     private final Set<String> proposed = new HashSet<>();
 
     private record Seen(Who who, long atMs) {
@@ -48,11 +49,14 @@
         final boolean vault = who.duty.equals("vault");
         if (!ledger.leads()) {
             // Only the leader decides; vaults are told of each time, tides until they have their name.
-            if (ledger.leader() != null && !ledger.leader().equals(ledger.identity())
-                && (vault || core.facts().replica(who.address, who.life) == 0)) {
+            final boolean news = vault || core.facts().replica(who.address, who.life) == 0;
+            if (news && ledger.leader() != null && !ledger.leader().equals(ledger.identity())) {
                 final Enlist enlist = new Enlist();
                 enlist.who = who;
                 post.dial(Ledger.address(ledger.leader())).send(enlist);
+            } else if (news) {
+                // Nobody leads yet, or this member is about to: kept until then, so that nobody has to ask again.
+                early.put(who.address, who);
             }
             return;
         }
@@ -69,6 +73,12 @@
         }
     }
 
+    void leaderChanged() {
+        final List<Who> kept = new ArrayList<>(early.values());
+        early.clear();
+        kept.forEach(this::heard);
+    }
+
     private void propose(final String what, final Deed deed) {
         if (proposed.add(what) && !ledger.propose(Core.bytes(deed), done -> proposed.remove(what))) {
             proposed.remove(what);
@@ -90,6 +100,7 @@
         if (identities.size() >= voterCount || enoughInFewZones(identities)) {
             final Deed deed = new Deed(Deed.VAULTS);
             deed.identities = identities;
+            identities.forEach(identity -> deed.zones.add(vaults.get(Ledger.address(identity)).who.zone));
             propose("vaults", deed);
         }
     }
--- a/src/main/java/yewjunction/charter/Tenure.java
+++ b/src/main/java/yewjunction/charter/Tenure.java
@@ -12,6 +12,7 @@
 import yewjunction.charter.Letters.Who;
 
 import static yewjunction.base.Limits.LEASE_ANSWER_MS;
+import static yewjunction.base.Limits.LEASE_FIRST_MS;
 import static yewjunction.base.Limits.LEASE_MS;
 import static yewjunction.base.Limits.LEASE_PACE_MS;
 import static yewjunction.base.Limits.LEASE_RETURN;
@@ -96,7 +97,7 @@
             final Link link = post.dial(known.get(shot % known.size()));
             link.send(renew);
         }
-        pulse.after(known.isEmpty() || silent || charter == null ? LEASE_ANSWER_MS / 2 : LEASE_PACE_MS, this::renew);
+        pulse.after(charter == null ? LEASE_FIRST_MS : known.isEmpty() || silent ? LEASE_ANSWER_MS / 2 : LEASE_PACE_MS, this::renew);
         if (held && !held()) {
             held = false;
             Event.LEASE_LAPSED.warn("version " + version());
--- a/src/main/java/yewjunction/herald/Envoy.java
+++ b/src/main/java/yewjunction/herald/Envoy.java
@@ -35,6 +35,7 @@
     private long homelessMs;
     private long returnMs;
     private int shot;
+    private int denials;
     private String leader = "";
 
     /** Told of what comes from the home. */
@@ -67,6 +68,13 @@
         post.on(Taken.class, this::takenUp);
         post.onClose(this::closed);
         pulse.every(HOME_BEAT_MS, this::beat);
+        pulse.every(HOME_BEAT_MS / 3, () -> {
+            // Without a home clients wait: looked for at a faster pace than a home is kept at.
+            if (home == null) {
+                denials = 0;
+                attach();
+            }
+        });
     }
 
     public boolean attached() {
@@ -84,6 +92,7 @@
 
     private void beat() {
         final long nowMs = pulse.nowMs();
+        denials = 0;
         if (home != null && nowMs - heardMs > HOME_SILENCE_MS) {
             // A dark machine resets nothing: silence is all there is to go by.
             leave();
@@ -173,6 +182,10 @@
         if (!welcome.accepted) {
             leave();
             shot++;
+            // Each vault is asked once a beat: the next one at once, the same again a little later.
+            if (++denials < vaults.get().size()) {
+                attach();
+            }
             return;
         }
         welcomed = true;
--- a/src/main/java/yewjunction/node/EdgeNode.java
+++ b/src/main/java/yewjunction/node/EdgeNode.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import yewjunction.base.Event;
@@ -51,7 +52,7 @@
         tenure = new Tenure(pulse, post, () -> Node.cruxes(roster, settings), this)
             .named(address, settings.node(), settings.zone(), "tide", life);
         dock = new Dock(pulse, post, tenure, weave, settings.pingS());
-        envoy = new Envoy(pulse, post, weave, settings.node(), () -> Node.addresses(roster, "vault"), dock);
+        envoy = new Envoy(pulse, post, weave, settings.node(), this::vaults, dock);
         dock.envoy(envoy);
         dock.live(this::live);
         post.on(Cloth.class, (link, cloth) -> {
@@ -67,6 +68,24 @@
         pulse.every(GOSSIP_MS, this::gossip);
     }
 
+    /** Vaults, the own zone's first: those the roster knows, and before it knows any, those the core has named. */
+    private List<String> vaults() {
+        final Set<String> addresses = new LinkedHashSet<>();
+        final List<Sibling> known = roster.up("vault");
+        known.stream().filter(sibling -> sibling.zone.equals(settings.zone())).forEach(sibling -> addresses.add(sibling.address));
+        final Set<String> retiring = tenure.facts().retiringAddresses();
+        final List<String> named = new ArrayList<>(tenure.facts().vaultAddresses(settings.zone(), true));
+        known.forEach(sibling -> named.add(sibling.address));
+        named.addAll(tenure.facts().vaultAddresses(settings.zone(), false));
+        for (final String address : named) {
+            final Sibling sibling = roster.at(address);
+            if (!retiring.contains(address) && (sibling == null || sibling.up())) {
+                addresses.add(address);
+            }
+        }
+        return new ArrayList<>(addresses);
+    }
+
     private boolean live(final long replica) {
         final String address = tenure.facts().addressOf(replica);
         final Sibling sibling = address == null ? null : roster.at(address);
