--- a/src/main/java/yewjunction/base/Limits.java
+++ b/src/main/java/yewjunction/base/Limits.java
@@ -144,6 +144,11 @@
     /** one exchange in so many also crosses to another zone, by the zone's bridge only. */
     public static final int GOSSIP_ACROSS_EVERY = 7;
 
+    /** the same while some client of the zone asks for counts, which must not be older than five seconds. */
+    public static final int GOSSIP_ACROSS_COUNTING = 2;
+    /** ms; a zone counts as asking for this long after a question. */
+    public static final long COUNTING_MS = 10_000;
+
     // --- vault ---
     /** ms; kept beyond a space's LingerS: covers late starts of the clock on other disks. */
     public static final long KEEP_SLACK_MS = 12_000;
--- a/src/main/java/yewjunction/dock/Dock.java
+++ b/src/main/java/yewjunction/dock/Dock.java
@@ -38,6 +38,7 @@
     private LongPredicate live = replica -> true;
     private Drain drain;
     private long heldMs;
+    private long countedMs = Long.MIN_VALUE / 2;
 
     public Dock(final Pulse pulse, final Post post, final Tenure tenure, final Weave weave, final double pingS) {
         this.pulse = pulse;
@@ -83,7 +84,13 @@
         return new ArrayList<>(clients.values());
     }
 
+    /** When a client last asked for a count of subscribers. */
+    public long countedMs() {
+        return countedMs;
+    }
+
     int count(final String topic) {
+        countedMs = pulse.nowMs();
         return weave.count(topic, live);
     }
 
--- a/src/main/java/yewjunction/herald/Letters.java
+++ b/src/main/java/yewjunction/herald/Letters.java
@@ -61,5 +61,7 @@
     /** A whole state of the set. */
     public static final class Cloth {
         public byte[] state = new byte[0];
+        /** Inside a zone: a client asked the sender for a count lately. */
+        public boolean counting;
     }
 }
--- a/src/main/java/yewjunction/node/EdgeNode.java
+++ b/src/main/java/yewjunction/node/EdgeNode.java
@@ -21,6 +21,8 @@
 import yewjunction.settings.Settings;
 import yewjunction.weave.Weave;
 
+import static yewjunction.base.Limits.COUNTING_MS;
+import static yewjunction.base.Limits.GOSSIP_ACROSS_COUNTING;
 import static yewjunction.base.Limits.GOSSIP_ACROSS_EVERY;
 import static yewjunction.base.Limits.GOSSIP_MS;
 import static yewjunction.base.Limits.HOMELESS_MS;
@@ -41,6 +43,7 @@
     private boolean draining;
     private long spreadChanges = -1;
     private long rounds;
+    private long countingMs = Long.MIN_VALUE / 2;
 
     public EdgeNode(final Pulse pulse, final Post post, final Roster roster, final Settings settings, final long life) {
         this.pulse = pulse;
@@ -56,6 +59,9 @@
         dock.envoy(envoy);
         dock.live(this::live);
         post.on(Cloth.class, (link, cloth) -> {
+            if (cloth.counting) {
+                countingMs = pulse.nowMs();
+            }
             weave.receive(cloth.state);
             dock.setChanged();
         });
@@ -105,7 +111,12 @@
     /** Whole states only: to the home, to one sibling of the zone, and now and then across by the zone's bridge. */
     private void gossip() {
         rounds++;
-        if (weave.self() == 0 || weave.changes() == spreadChanges && rounds % GOSSIP_ACROSS_EVERY != 0) {
+        final long nowMs = pulse.nowMs();
+        final boolean counting = nowMs - dock.countedMs() < COUNTING_MS;
+        // Counts need the other zones' news sooner; where nobody asks for any, it is not paid for.
+        final long everyRounds = counting || nowMs - countingMs < COUNTING_MS ? GOSSIP_ACROSS_COUNTING : GOSSIP_ACROSS_EVERY;
+        final boolean across = rounds % everyRounds == 0;
+        if (weave.self() == 0 || weave.changes() == spreadChanges && !across) {
             return;
         }
         spreadChanges = weave.changes();
@@ -118,11 +129,13 @@
         final Cloth cloth = new Cloth();
         cloth.state = weave.state();
         if (!near.isEmpty()) {
+            cloth.counting = counting;
             post.dial(near.get(pulse.luck().nextInt(near.size())).address).send(cloth);
+            cloth.counting = false;
         }
         // Cross-zone bytes are dear: one edge a zone speaks for it.
         final boolean bridge = near.stream().allMatch(sibling -> sibling.address.compareTo(address) > 0);
-        if (bridge && rounds % GOSSIP_ACROSS_EVERY == 0) {
+        if (bridge && across) {
             final Set<String> zones = new HashSet<>();
             java.util.Collections.shuffle(far, pulse.luck());
             far.stream().filter(sibling -> zones.add(sibling.zone)).forEach(sibling -> post.dial(sibling.address).send(cloth));
--- a/src/main/java/yewjunction/weave/Pattern.java
+++ b/src/main/java/yewjunction/weave/Pattern.java
@@ -1,5 +1,7 @@
 package yewjunction.weave;
 
+import java.io.BufferedInputStream;
+import java.io.BufferedOutputStream;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
@@ -15,16 +17,15 @@
 import java.util.zip.Deflater;
 import java.util.zip.DeflaterOutputStream;
 import java.util.zip.InflaterInputStream;
-import yewjunction.weave.Weave.Absence;
-import yewjunction.weave.Weave.Cell;
+import yewjunction.weave.Presence.Absence;
 
 /** A whole state (v, w) on the wire: each client named once, numbers short, all deflated. */
-record Pattern(Map<Cell, Long> cells, Map<Long, Long> observed, Map<Long, Absence> absences) {
+record Pattern(Map<String, Map<String, Map<Long, Long>>> active, Map<Long, Long> observed, Map<Long, Absence> absences) {
     static byte[] pack(final Map<String, Map<String, Map<Long, Long>>> active, final Map<Long, Long> observed,
             final Map<Long, Absence> absences) {
         final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         final Deflater deflater = new Deflater(Deflater.BEST_SPEED);
-        try (DataOutputStream out = new DataOutputStream(new DeflaterOutputStream(bytes, deflater, 4096))) {
+        try (DataOutputStream out = new DataOutputStream(new BufferedOutputStream(new DeflaterOutputStream(bytes, deflater, 4096), 4096))) {
             final Names names = new Names();
             number(out, observed.size());
             for (final Map.Entry<Long, Long> one : observed.entrySet()) {
@@ -63,17 +64,19 @@
 
     static Pattern unpack(final byte[] packed) {
         final Pattern pattern = new Pattern(new HashMap<>(), new HashMap<>(), new HashMap<>());
-        try (DataInputStream in = new DataInputStream(new InflaterInputStream(new ByteArrayInputStream(packed)))) {
+        try (DataInputStream in = new DataInputStream(new BufferedInputStream(new InflaterInputStream(new ByteArrayInputStream(packed)), 4096))) {
             final List<String> names = new ArrayList<>();
             for (long left = number(in); left > 0; left--) {
                 pattern.observed.put(number(in), number(in));
             }
             for (long topics = number(in); topics > 0; topics--) {
-                final String topic = in.readUTF();
+                final Map<String, Map<Long, Long>> ofTopic = new HashMap<>();
+                pattern.active.put(in.readUTF(), ofTopic);
                 for (long clients = number(in); clients > 0; clients--) {
-                    final String client = name(in, names);
+                    final Map<Long, Long> instances = new HashMap<>(2);
+                    ofTopic.put(name(in, names), instances);
                     for (long left = number(in); left > 0; left--) {
-                        pattern.cells.put(new Cell(topic, client, number(in)), number(in));
+                        instances.put(number(in), number(in));
                     }
                 }
             }
--- a/src/main/java/yewjunction/weave/Weave.java
+++ b/src/main/java/yewjunction/weave/Weave.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -15,15 +14,13 @@
 public final class Weave {
     private final Map<String, Map<String, Map<Long, Long>>> active = new HashMap<>();
     private final Map<Long, Long> observed = new HashMap<>();
-    private final Map<Long, Absence> absences = new HashMap<>();
+    private final Presence presence = new Presence();
     private Set<Long> liveReplicas = Set.of();
     private long newestReplica;
     private long self;
     private long changes;
-
-    /** Which clients of a replica are without a link; only that replica raises the number. */
-    record Absence(long number, Set<String> clients) {
-    }
+    private byte[] packed;
+    private long packedChanges;
 
     /** The replica's name; 0 for one that only reads. */
     public void self(final long replica) {
@@ -112,8 +109,7 @@
         int count = 0;
         for (final Map.Entry<String, Map<Long, Long>> one : active.getOrDefault(topic, Map.of()).entrySet()) {
             for (final long replica : one.getValue().keySet()) {
-                final Absence absence = absences.get(replica);
-                if (live.test(replica) && (absence == null || !absence.clients.contains(one.getKey()))) {
+                if (live.test(replica) && !presence.away(replica, one.getKey())) {
                     count++;
                     break;
                 }
@@ -123,15 +119,7 @@
     }
 
     public void absent(final String client, final boolean away) {
-        final Absence known = absences.getOrDefault(self, new Absence(0, Set.of()));
-        if (self != 0 && known.clients.contains(client) != away) {
-            final Set<String> clients = new HashSet<>(known.clients);
-            if (away) {
-                clients.add(client);
-            } else {
-                clients.remove(client);
-            }
-            absences.put(self, new Absence(known.number + 1, clients));
+        if (presence.set(self, client, away)) {
             changes++;
         }
     }
@@ -150,35 +138,43 @@
     // --- exchange ---
 
     public byte[] state() {
-        return Pattern.pack(active, observed, absences);
+        // Packed once however many siblings it goes to.
+        if (packed == null || packedChanges != changes) {
+            packed = Pattern.pack(active, observed, presence.all());
+            packedChanges = changes;
+        }
+        return packed;
     }
 
     /** Merges a whole state; loss, reordering and doubling of states do no harm. */
-    public void receive(final byte[] packed) {
-        final Pattern incoming = Pattern.unpack(packed);
+    public void receive(final byte[] state) {
+        final Pattern incoming = Pattern.unpack(state);
         incoming.observed().keySet().removeIf(this::retired);
-        final Set<Cell> cells = new HashSet<>();
-        incoming.cells().forEach((cell, instance) -> {
-            if (!retired(cell.replica())) {
-                cells.add(cell);
-            }
+        final List<Cell> changedCells = new ArrayList<>();
+        incoming.active().forEach((topic, clients) -> clients.forEach((client, instances) ->
+            instances.forEach((replica, theirs) -> {
+                if (!retired(replica)) {
+                    compare(topic, client, replica, instance(topic, client, replica), theirs, incoming, changedCells);
+                }
+            })));
+        // What only this side has active may have been removed there.
+        active.forEach((topic, clients) -> {
+            final Map<String, Map<Long, Long>> theirClients = incoming.active().getOrDefault(topic, Map.of());
+            clients.forEach((client, instances) -> {
+                final Map<Long, Long> theirInstances = theirClients.getOrDefault(client, Map.of());
+                instances.forEach((replica, mine) -> {
+                    if (!theirInstances.containsKey(replica)) {
+                        compare(topic, client, replica, mine, 0, incoming, changedCells);
+                    }
+                });
+            });
         });
-        active.forEach((topic, clients) -> clients.forEach((client, instances) ->
-            instances.keySet().forEach(replica -> cells.add(new Cell(topic, client, replica)))));
-        boolean changed = false;
-        for (final Cell cell : cells) {
-            final long mine = instance(cell.topic(), cell.client(), cell.replica());
-            final long theirs = incoming.cells().getOrDefault(cell, 0L);
-            final long merged = merge(mine, theirs, observed(cell.replica()),
-                incoming.observed().getOrDefault(cell.replica(), 0L));
-            if (merged == mine) {
-                continue;
-            }
-            changed = true;
-            if (merged == 0) {
-                zero(cell.topic(), cell.client(), cell.replica());
+        boolean changed = !changedCells.isEmpty();
+        for (final Cell cell : changedCells) {
+            if (cell.merged == 0) {
+                zero(cell.topic, cell.client, cell.replica);
             } else {
-                put(cell.topic(), cell.client(), cell.replica(), merged);
+                put(cell.topic, cell.client, cell.replica, cell.merged);
             }
         }
         for (final Map.Entry<Long, Long> one : incoming.observed().entrySet()) {
@@ -187,18 +183,20 @@
                 changed = true;
             }
         }
-        for (final Map.Entry<Long, Absence> one : incoming.absences().entrySet()) {
-            final Absence known = absences.get(one.getKey());
-            if (one.getKey() != self && !retired(one.getKey()) && (known == null || known.number < one.getValue().number)) {
-                absences.put(one.getKey(), one.getValue());
-                changed = true;
-            }
-        }
+        changed |= presence.merge(self, incoming.absences(), this::retired);
         if (changed) {
             changes++;
         }
     }
 
+    private void compare(final String topic, final String client, final long replica, final long mine, final long theirs,
+            final Pattern incoming, final List<Cell> changedCells) {
+        final long merged = merge(mine, theirs, observed(replica), incoming.observed().getOrDefault(replica, 0L));
+        if (merged != mine) {
+            changedCells.add(new Cell(topic, client, replica, merged));
+        }
+    }
+
     /** The paper's rule for one (a, s). */
     static long merge(final long mine, final long theirs, final long myObserved, final long theirObserved) {
         // Newer than the own entry but covered here: it was removed here.
@@ -229,16 +227,16 @@
         final List<Cell> dropped = new ArrayList<>();
         active.forEach((topic, clients) -> clients.forEach((client, instances) -> instances.keySet().forEach(replica -> {
             if (retired(replica)) {
-                dropped.add(new Cell(topic, client, replica));
+                dropped.add(new Cell(topic, client, replica, 0));
             }
         })));
-        dropped.forEach(cell -> zero(cell.topic(), cell.client(), cell.replica()));
-        if (observed.keySet().removeIf(this::retired) | absences.keySet().removeIf(this::retired) | !dropped.isEmpty()) {
+        dropped.forEach(cell -> zero(cell.topic, cell.client, cell.replica));
+        if (observed.keySet().removeIf(this::retired) | presence.drop(this::retired) | !dropped.isEmpty()) {
             changes++;
         }
     }
 
-    /** One (a, s). */
-    record Cell(String topic, String client, long replica) {
+    /** One (a, s) and what becomes of it. */
+    private record Cell(String topic, String client, long replica, long merged) {
     }
 }
