--- a/src/main/java/yewjunction/app/Main.java
+++ b/src/main/java/yewjunction/app/Main.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.Callable;
 import yewjunction.app.Process.Duty;
 import yewjunction.base.Defect;
+import yewjunction.base.Event;
 import yewjunction.settings.Settings;
 
 /** yewjunction: one jar, two programs, and tools round them. */
@@ -48,7 +49,10 @@
             } catch (final Defect defect) {
                 System.err.println(defect.code() + " " + defect.getMessage());
                 return switch (defect.code()) {
-                    case LEDGER_DAMAGED -> EXIT_LEDGER;
+                    case LEDGER_DAMAGED -> {
+                        Event.LEDGER_DAMAGED.warn(defect.getMessage());
+                        yield EXIT_LEDGER;
+                    }
                     case LEDGER_DISK -> EXIT_DISK;
                     default -> EXIT_SETTINGS;
                 };
--- a/src/main/java/yewjunction/base/Limits.java
+++ b/src/main/java/yewjunction/base/Limits.java
@@ -154,8 +154,6 @@
     public static final long KEEP_SLACK_MS = 12_000;
     /** ms; how long an accepted or denied number is remembered: well above ResendS. */
     public static final long NUMBER_MS = 60_000;
-    /** ms; a message that was under way from its edge longer than this is not admitted: its denial may be forgotten. */
-    public static final long UNDER_WAY_MS = 8_000;
     /** share of a quota's excess and slack that a bucket uses; the rest covers changes of the leader. */
     public static final double QUOTA_SHARE = 0.45;
     /** share of them that a bucket holds at the start of a vault: most of what the one above leaves. */
@@ -164,6 +162,8 @@
     public static final long QUOTA_REPLAY_MS = 1_500;
     /** ms; pace of dropping old messages and numbers. */
     public static final long VAULT_SWEEP_MS = 1_000;
+    /** ms; when fewer vaults than the losses need have called for this long, those there are begin: late ones join. */
+    public static final long VAULTS_WAIT_MS = 12_000;
     /** ms; pace of a vault's call to crux. */
     public static final long ENROL_MS = 500;
 
--- a/src/main/java/yewjunction/base/Link.java
+++ b/src/main/java/yewjunction/base/Link.java
@@ -11,9 +11,4 @@
 
     /** The far address, ip:port; for links taken in, the port is the sibling's ephemeral one. */
     String remote();
-
-    /** What the owner pinned to this link. */
-    Object tag();
-
-    void tag(Object value);
 }
--- a/src/main/java/yewjunction/charter/Registrar.java
+++ b/src/main/java/yewjunction/charter/Registrar.java
@@ -17,6 +17,7 @@
 
 import static yewjunction.base.Limits.ENROL_MS;
 import static yewjunction.base.Limits.REPLICA_GONE_MS;
+import static yewjunction.base.Limits.VAULTS_WAIT_MS;
 
 /** The leader's decisions about processes: replica names, the first vault voters, retirements. */
 final class Registrar {
@@ -28,6 +29,7 @@
     private final int voterCount;
     private final Map<String, Seen> vaults = new TreeMap<>();
     private final Map<String, Long> goneMs = new HashMap<>();
+    private long startedMs = -1;
     private final Map<String, Who> early = new TreeMap<>();
     private final Set<String> proposed = new HashSet<>();
 
@@ -105,9 +107,10 @@
         }
     }
 
+    /** Fewer zones than voters, or fewer vaults: begun only once late ones have had time to call. */
     private boolean enoughInFewZones(final List<String> identities) {
-        // Fewer zones than voters: only once the vaults have had time to call, so that no zone is left out.
-        if (vaults.size() < voterCount || ledger.applied() < 1 || pulse.nowMs() - firstMs() < 6 * ENROL_MS) {
+        final long waitedMs = pulse.nowMs() - firstMs();
+        if (waitedMs < (vaults.size() < voterCount ? VAULTS_WAIT_MS : 6 * ENROL_MS)) {
             return false;
         }
         for (final Seen seen : vaults.values()) {
@@ -118,8 +121,6 @@
         return true;
     }
 
-    private long startedMs = -1;
-
     private long firstMs() {
         if (startedMs < 0) {
             startedMs = pulse.nowMs();
--- a/src/main/java/yewjunction/loom/Wire.java
+++ b/src/main/java/yewjunction/loom/Wire.java
@@ -36,7 +36,6 @@
     private long heardMs;
     private long spokeMs;
     private String remote;
-    private Object tag;
 
     Wire(final Wires owner, final Loom loom, final Codec codec, final SocketChannel channel, final String dialledAddress)
             throws IOException {
@@ -225,14 +224,4 @@
     public String remote() {
         return remote;
     }
-
-    @Override
-    public Object tag() {
-        return tag;
-    }
-
-    @Override
-    public void tag(final Object value) {
-        tag = value;
-    }
 }
