--- a/src/main/java/yewjunction/app/Main.java
+++ b/src/main/java/yewjunction/app/Main.java
@@ -31,6 +31,8 @@
     abstract static class Program implements Callable<Integer> {
         @Option(name = "--settings", title = "FILE", description = "settings file; else the one named by " + SETTINGS_VARIABLE)
         String file;
+        @Option(name = "--calendar", title = "PLACE", description = "an iCalendar file, or a folder of them: planned work is named in events")
+        String calendar;
 
         Path path() {
             final String named = file != null ? file : System.getenv(SETTINGS_VARIABLE);
@@ -69,7 +71,7 @@
     public static final class TideCommand extends Program {
         @Override
         int run(final Path path, final Settings settings) {
-            return new Process(path, settings, settings.serves().contains("store") ? Duty.VAULT : Duty.TIDE).run();
+            return new Process(path, settings, settings.serves().contains("store") ? Duty.VAULT : Duty.TIDE).planned(calendar).run();
         }
     }
 
@@ -77,7 +79,7 @@
     public static final class CruxCommand extends Program {
         @Override
         int run(final Path path, final Settings settings) {
-            return new Process(path, settings, Duty.CRUX).run();
+            return new Process(path, settings, Duty.CRUX).planned(calendar).run();
         }
     }
 
--- a/src/main/java/yewjunction/app/Process.java
+++ b/src/main/java/yewjunction/app/Process.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Instant;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import org.agrona.concurrent.AgentRunner;
 import org.agrona.concurrent.NoOpIdleStrategy;
@@ -23,6 +25,7 @@
 import yewjunction.roster.Roster;
 import yewjunction.roster.Sibling;
 import yewjunction.settings.Settings;
+import yewjunction.window.Windows;
 
 import static yewjunction.base.Limits.SETTINGS_LOOK_MS;
 
@@ -37,6 +40,7 @@
 
     private final Path file;
     private final CountDownLatch ended = new CountDownLatch(1);
+    private String calendar;
     private long fileMs;
     private boolean stopping;
 
@@ -61,6 +65,7 @@
         self.duty = duty.name().toLowerCase(java.util.Locale.ROOT);
         self.front = settings.front();
         self.life = life;
+        self.begin(System.currentTimeMillis());
         final Datagrams datagrams = new Datagrams(loom, codec, Addresses.parse(address));
         roster = new Roster(loom, self, datagrams::send);
         datagrams.onLetter(roster::take);
@@ -72,6 +77,21 @@
         fileMs = fileTime();
     }
 
+    /** Planned work from calendar files; read again with the settings. */
+    Process planned(final String chosenCalendar) {
+        calendar = chosenCalendar;
+        readCalendar();
+        return this;
+    }
+
+    private void readCalendar() {
+        if (calendar != null) {
+            final Windows windows = Windows.read(Path.of(calendar));
+            windows.bad().forEach(Event.CALENDAR_BAD::warn);
+            roster.planned(sibling -> windows.explains(Instant.now(), List.of(sibling.node, sibling.zone)));
+        }
+    }
+
     private LocalDisk disk() {
         return new LocalDisk(Path.of(settings.dataFolder()));
     }
@@ -142,6 +162,7 @@
             final Settings fresh = Settings.load(file);
             roster.seeds(fresh.coreAddresses());
             node.reread(fresh);
+            readCalendar();
             Event.SETTINGS_REREAD.info(file.toString());
         } catch (final Defect defect) {
             // The settings in force stay: a bad file must not stop a node that works.
--- a/src/main/java/yewjunction/base/Event.java
+++ b/src/main/java/yewjunction/base/Event.java
@@ -5,6 +5,7 @@
 /** Numbered log events; the catalogue with what to do about each is docs/events.md. */
 public enum Event {
     STARTED(100), STOPPING(101), STOPPED(102), SETTINGS_REREAD(103), SETTINGS_BAD(104), TURN_DEFECT(105),
+    CALENDAR_BAD(106),
     LINK_LOST(200), LINK_GARBLED(201), LINK_SLOW(203),
     SIBLING_JOINED(300), SIBLING_SUSPECT(301), SIBLING_GONE(302),
     LEADER_WON(400), LEADER_LOST(401), LEDGER_OPENED(403), TAIL_CUT(404), LEDGER_DAMAGED(405),
--- a/src/main/java/yewjunction/roster/Roster.java
+++ b/src/main/java/yewjunction/roster/Roster.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.BiConsumer;
+import java.util.function.Function;
 import yewjunction.base.Event;
 import yewjunction.base.Pulse;
 import yewjunction.roster.Letters.Crew;
@@ -33,7 +34,7 @@
     private final Map<String, Long> changedMs = new HashMap<>();
     private final Map<String, Integer> newsLeft = new LinkedHashMap<>();
     private final Prober prober;
-    private final List<Runnable> watchers = new ArrayList<>();
+    private Function<Sibling, String> planned = sibling -> null;
     private List<String> seeds = List.of();
     private long hailedMs;
     private boolean left;
@@ -60,10 +61,6 @@
         return left;
     }
 
-    public void watch(final Runnable watcher) {
-        watchers.add(watcher);
-    }
-
     public Sibling self() {
         return self;
     }
@@ -132,11 +129,30 @@
         }
     }
 
+    /** Who explains why a sibling may be away: planned work, or null for none. */
+    public void planned(final Function<Sibling, String> explainer) {
+        planned = explainer;
+    }
+
+    private String about(final Sibling sibling) {
+        final String work = planned.apply(sibling);
+        return sibling.node + " " + sibling.duty + (work == null ? "" : " planned: " + work);
+    }
+
     void suspect(final String address) {
         final Sibling sibling = siblings.get(address);
         if (sibling != null && sibling.standing == Sibling.UP) {
-            Event.SIBLING_SUSPECT.info(sibling.node + " " + sibling.duty);
+            Event.SIBLING_SUSPECT.info(about(sibling));
             change(sibling, Sibling.SUSPECT);
+            tellSuspect(sibling);
+        }
+    }
+
+    /** Told at once and again, so that it can refute before the time is over though datagrams get lost. */
+    private void tellSuspect(final Sibling sibling) {
+        if (siblings.get(sibling.address) == sibling && sibling.standing == Sibling.SUSPECT && !left) {
+            send(sibling.address, new Echo());
+            pulse.after(SUSPECT_MS / 4, () -> tellSuspect(sibling));
         }
     }
 
@@ -144,7 +160,6 @@
         sibling.standing = standing;
         changedMs.put(sibling.address, pulse.nowMs());
         tell(sibling.address);
-        watchers.forEach(Runnable::run);
     }
 
     void sweep() {
@@ -156,7 +171,7 @@
             final Sibling sibling = each.next();
             final long sinceMs = nowMs - changedMs.getOrDefault(sibling.address, nowMs);
             if (sibling.standing == Sibling.SUSPECT && sinceMs > SUSPECT_MS) {
-                Event.SIBLING_GONE.info(sibling.node + " " + sibling.duty);
+                Event.SIBLING_GONE.info(about(sibling));
                 change(sibling, Sibling.GONE);
             } else if (!sibling.up() && sinceMs > GONE_MS) {
                 each.remove();
@@ -167,6 +182,11 @@
 
     void send(final String address, final Letter letter) {
         letter.self = self.copy();
+        // Whoever is thought to be away hears so first: a restarted or wrongly suspected one then refutes it.
+        final Sibling receiver = siblings.get(address);
+        if (receiver != null && receiver.standing != Sibling.UP) {
+            letter.news.add(receiver.copy());
+        }
         for (final String about : List.copyOf(newsLeft.keySet())) {
             if (letter.news.size() >= NEWS_PER_PROBE) {
                 break;
@@ -187,8 +207,13 @@
         if (!(taken instanceof Letter letter) || letter.self == null) {
             return;
         }
+        final long numberBefore = self.number;
         hear(letter.self);
         letter.news.forEach(this::hear);
+        if (self.number != numberBefore) {
+            // A refutation goes straight back to whoever doubted.
+            send(from, new Echo());
+        }
         if (letter instanceof Hail) {
             final Crew crew = new Crew();
             siblings.values().stream().filter(Sibling::up).limit(CREW_MOST).forEach(one -> crew.news.add(one.copy()));
@@ -214,7 +239,6 @@
                 changedMs.put(news.address, pulse.nowMs());
                 tell(news.address);
                 Event.SIBLING_JOINED.info(news.node + " " + news.duty);
-                watchers.forEach(Runnable::run);
             }
         } else if (news.over(known)) {
             siblings.put(news.address, news);
--- a/src/main/java/yewjunction/roster/Sibling.java
+++ b/src/main/java/yewjunction/roster/Sibling.java
@@ -21,6 +21,11 @@
     long number;
     int standing;
 
+    /** A life's first number, above all of earlier lives where clocks are about right; where not, refuting mends it. */
+    public void begin(final long firstNumber) {
+        number = firstNumber;
+    }
+
     Sibling copy() {
         final Sibling copied = new Sibling();
         copied.address = address;
--- /dev/null
+++ b/src/test/java/yewjunction/roster/RosterSimTest.java
@@ -0,0 +1,97 @@
+package yewjunction.roster;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+import yewjunction.sim.Host;
+import yewjunction.sim.World;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Who knows whom, under kills, restarts, losses and a cut between two. */
+class RosterSimTest {
+    private final Map<String, Roster> rosters = new TreeMap<>();
+    private final List<String> explained = new ArrayList<>();
+    private World world;
+    private long lives;
+
+    private void boot(final String address) {
+        final Host host = world.host(address);
+        host.boot();
+        final Sibling self = new Sibling();
+        self.address = address;
+        self.node = "node-" + address;
+        self.zone = "zone" + address.charAt(1);
+        self.duty = "tide";
+        self.life = ++lives;
+        final Roster roster = new Roster(host, self, host::datagram);
+        roster.planned(sibling -> {
+            explained.add(sibling.node);
+            return "work";
+        });
+        host.onDatagram(roster::take);
+        rosters.put(address, roster);
+        roster.start(List.of("a1:7", "a2:7"));
+    }
+
+    private void begin(final long seed) {
+        world = new World(seed);
+        for (final String address : List.of("a1:7", "b1:7", "c1:7", "a2:7", "b2:7", "c2:7", "d2:7", "e2:7")) {
+            boot(address);
+        }
+        world.runFor(12_000);
+        rosters.forEach((address, roster) -> assertEquals(7, roster.up("tide").size(), address));
+    }
+
+    private boolean allSee(final String address, final boolean up) {
+        return rosters.entrySet().stream().filter(one -> !one.getKey().equals(address) && world.host(one.getKey()).up())
+            .allMatch(one -> one.getValue().up("tide").stream().anyMatch(sibling -> sibling.address.equals(address)) == up);
+    }
+
+    @Test
+    void aDeadSiblingIsMissedByAllAndItsRestartIsSeen() {
+        begin(1);
+        world.host("b1:7").powerOff();
+        assertTrue(world.runUntil(() -> allSee("b1:7", false), 15_000));
+        assertTrue(explained.contains("node-b1:7"));
+        boot("b1:7");
+        assertTrue(world.runUntil(() -> allSee("b1:7", true), 10_000));
+        assertEquals(lives, rosters.get("a2:7").at("b1:7").life);
+    }
+
+    @Test
+    void aCutBetweenTwoRemovesNobodyWhileOthersReachBoth() {
+        begin(2);
+        world.cut("c2:7", "d2:7");
+        for (int second = 0; second < 60; second++) {
+            world.runFor(1_000);
+            assertTrue(allSee("c2:7", true) && allSee("d2:7", true), "second " + second);
+        }
+    }
+
+    @Test
+    void manyLostDatagramsRemoveNobodyForLong() {
+        begin(3);
+        world.loss = 0.15;
+        int wrong = 0;
+        for (int second = 0; second < 120; second++) {
+            world.runFor(1_000);
+            wrong += rosters.keySet().stream().allMatch(address -> allSee(address, true)) ? 0 : 1;
+        }
+        assertTrue(wrong <= 4, wrong + " seconds with somebody missing");
+    }
+
+    @Test
+    void oneThatLeavesIsGoneAtOnceWithoutSuspicion() {
+        begin(4);
+        explained.clear();
+        rosters.get("c2:7").leave();
+        world.runFor(30);
+        world.host("c2:7").kill();
+        assertTrue(world.runUntil(() -> allSee("c2:7", false), 12_000));
+        assertEquals(List.of(), explained);
+    }
+}
