--- a/src/main/java/yewjunction/doctor/Caller.java
+++ b/src/main/java/yewjunction/doctor/Caller.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.HttpURLConnection;
+import java.net.Proxy;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.time.ZonedDateTime;
@@ -22,7 +23,8 @@
 
     Reply get(final String address, final String path) {
         try {
-            final HttpURLConnection link = (HttpURLConnection) URI.create("http://" + address + path).toURL().openConnection();
+            final HttpURLConnection link = (HttpURLConnection) URI.create("http://" + address + path).toURL()
+                .openConnection(Proxy.NO_PROXY);
             link.setConnectTimeout(timeoutMs);
             link.setReadTimeout(timeoutMs);
             link.setInstanceFollowRedirects(false);
--- /dev/null
+++ b/src/test/java/yewjunction/ledger/LedgerSim.java
@@ -0,0 +1,130 @@
+package yewjunction.ledger;
+
+import java.nio.ByteBuffer;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import yewjunction.sim.Host;
+import yewjunction.sim.SimPost;
+import yewjunction.sim.World;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Three members on simulated machines, a steady load, and what must hold at every moment. */
+class LedgerSim {
+    final List<String> addresses = List.of("a:1", "b:1", "c:1");
+    final Map<String, Ledger> ledgers = new TreeMap<>();
+    final Map<String, Tale> tales = new HashMap<>();
+    /** What any member applied at an index, over the whole run. */
+    private final Map<Long, Long> history = new TreeMap<>();
+    final Set<Long> acknowledged = new HashSet<>();
+    private final Map<Long, String> leaders = new HashMap<>();
+    World world;
+    private long proposed;
+    private int drawn;
+
+    /** A machine that only remembers. */
+    final class Tale implements Machine {
+        final TreeMap<Long, Long> told = new TreeMap<>();
+        private long last;
+
+        @Override
+        public void apply(final long index, final byte[] data) {
+            assertTrue(index > last, "index " + index + " after " + last);
+            last = index;
+            put(index, ByteBuffer.wrap(data).getLong());
+        }
+
+        private void put(final long index, final long value) {
+            told.put(index, value);
+            final Long known = history.putIfAbsent(index, value);
+            assertTrue(known == null || known == value, "two values at " + index);
+        }
+
+        @Override
+        public byte[] snapshot() {
+            final ByteBuffer bytes = ByteBuffer.allocate(16 * told.size());
+            told.forEach((index, value) -> bytes.putLong(index).putLong(value));
+            return bytes.array();
+        }
+
+        @Override
+        public void restore(final long index, final byte[] state) {
+            told.clear();
+            final ByteBuffer bytes = ByteBuffer.wrap(state);
+            while (bytes.hasRemaining()) {
+                put(bytes.getLong(), bytes.getLong());
+            }
+            last = index;
+        }
+    }
+
+    void boot(final String address, final boolean founder) {
+        final Host host = world.host(address);
+        final SimPost post = host.boot();
+        final Tale tale = new Tale();
+        final Ledger ledger = new Ledger(7, host, post, host.disk, host.clerk(), "ledger", tale);
+        ledger.listen();
+        if (ledger.identity() == null) {
+            ledger.name(address + "#" + (founder ? "founder" : "drawn" + drawn++));
+            if (founder) {
+                ledger.found(addresses.stream().map(one -> one + "#founder").toList());
+            }
+        }
+        ledger.start();
+        host.every(300, () -> {
+            if (!ledger.voters().contains(ledger.identity())) {
+                addresses.stream().filter(one -> !one.equals(address)).forEach(one -> ledger.join(one, true));
+            }
+        });
+        ledgers.put(address, ledger);
+        tales.put(address, tale);
+    }
+
+    void begin(final long seed) {
+        world = new World(seed);
+        addresses.forEach(address -> boot(address, true));
+        world.every(7, () -> {
+            final Ledger ledger = ledgers.get(addresses.get(world.luck.nextInt(3)));
+            if (world.host(Ledger.address(ledger.identity())).up() && ledger.leads()) {
+                final long value = ++proposed;
+                ledger.propose(ByteBuffer.allocate(8).putLong(value).array(), done -> {
+                    if (done) {
+                        acknowledged.add(value);
+                    }
+                });
+            }
+            for (final Ledger one : ledgers.values()) {
+                if (one.leadsTerm() && world.host(Ledger.address(one.identity())).up()) {
+                    final String known = leaders.putIfAbsent(one.archive.term, one.identity());
+                    assertTrue(known == null || known.equals(one.identity()), "two leaders in term " + one.archive.term);
+                }
+            }
+        });
+    }
+
+    Ledger leader() {
+        return ledgers.values().stream().filter(one -> world.host(Ledger.address(one.identity())).up() && one.leads())
+            .findFirst().orElse(null);
+    }
+
+    void checkAll() {
+        world.join();
+        world.loss = 0;
+        for (final String address : addresses) {
+            if (!world.host(address).up()) {
+                boot(address, false);
+            }
+        }
+        final long before = acknowledged.size();
+        assertTrue(world.runUntil(() -> acknowledged.size() > before + 20, 20_000), "no progress when all is well again " + ledgers.values().stream().map(one -> one.identity() + " term " + one.archive.term + " last " + one.log.lastIndex() + "/" + one.log.lastTerm() + " commit " + one.commit() + " leads " + one.leads() + " leader " + one.leader() + " voters " + one.voters()).toList());
+        world.runFor(2_000);
+        for (final String address : addresses) {
+            assertTrue(tales.get(address).told.values().containsAll(acknowledged), address + " lacks an acknowledged entry");
+            assertTrue(leader().voters().contains(ledgers.get(address).identity()), address + " does not vote again");
+        }
+    }
+}
--- a/src/test/java/yewjunction/system/Customer.java
+++ b/src/test/java/yewjunction/system/Customer.java
@@ -44,7 +44,7 @@
         private boolean up = true;
         private boolean flushing;
         private byte[] unread = new byte[0];
-        private String text = "";
+        private final Frames frames = new Frames();
         private boolean dead;
 
         Wire(final String edge) {
@@ -92,25 +92,10 @@
                 return;
             }
             heardMs = town.world.nowMs();
-            text += words;
-            while (wire == this) {
-                final int end = text.indexOf("\r\n");
-                if (end < 0) {
-                    return;
-                }
-                final String[] fields = text.substring(0, end).split(" ");
-                int taken = end + 2;
-                String body = null;
-                if (fields[0].equals("MSG")) {
-                    final int length = Integer.parseInt(fields[5]);
-                    if (text.length() < taken + length + 2) {
-                        return;
-                    }
-                    body = text.substring(taken, taken + length);
-                    taken += length + 2;
+            for (final Frames.Frame frame : frames.feed(words)) {
+                if (wire == this) {
+                    told(frame.fields(), frame.body());
                 }
-                text = text.substring(taken);
-                told(fields, body);
             }
         }
 
