--- a/src/main/java/yewjunction/base/Limits.java
+++ b/src/main/java/yewjunction/base/Limits.java
@@ -49,6 +49,9 @@
     /** ms; subscriptions of a client that stays away this long are removed, well after the longest keeping time. */
     public static final long AWAY_MS = 120_000;
 
+    /** ms; pace of asking whether this edge is ready, well below the platform's own pace of a second. */
+    public static final long READY_LOOK_MS = 100;
+
     // --- drain ---
     /** ms; links are moved over this span, so that the other edges take them one by one. */
     public static final long MOVE_SPAN_MS = 1_200;
--- a/src/main/java/yewjunction/doctor/Doctor.java
+++ b/src/main/java/yewjunction/doctor/Doctor.java
@@ -147,7 +147,7 @@
         if (rows == null) {
             return;
         }
-        final int needed = 2 * Math.max(1, settings.lossesBorne()) + 1;
+        final int needed = settings.votersNeeded();
         long newest = 0;
         int heard = 0;
         for (final Config row : rows) {
--- a/src/main/java/yewjunction/herald/Envoy.java
+++ b/src/main/java/yewjunction/herald/Envoy.java
@@ -77,10 +77,6 @@
         });
     }
 
-    public boolean attached() {
-        return welcomed;
-    }
-
     /** ms without a home, 0 while there is one. */
     public long homelessMs() {
         return welcomed ? 0 : pulse.nowMs() - homelessMs;
--- a/src/main/java/yewjunction/node/CruxNode.java
+++ b/src/main/java/yewjunction/node/CruxNode.java
@@ -22,9 +22,8 @@
         this.roster = roster;
         this.settings = settings;
         this.life = life;
-        // Two copies must outlast the losses to be borne: so many voters make a majority without them.
         crux = new Crux(pulse, post, disk, clerk, roster, settings.address(Settings.CRUX_OFFSET),
-            2 * Math.max(1, settings.lossesBorne()) + 1);
+            settings.votersNeeded());
     }
 
     @Override
--- a/src/main/java/yewjunction/node/EdgeNode.java
+++ b/src/main/java/yewjunction/node/EdgeNode.java
@@ -26,6 +26,7 @@
 import static yewjunction.base.Limits.GOSSIP_ACROSS_EVERY;
 import static yewjunction.base.Limits.GOSSIP_MS;
 import static yewjunction.base.Limits.HOMELESS_MS;
+import static yewjunction.base.Limits.READY_LOOK_MS;
 
 /** An edge machine's data plane: holds clients' links and one replica of the subscription set. */
 public final class EdgeNode implements Node, Tenure.Watcher {
@@ -70,7 +71,7 @@
     @Override
     public void start() {
         tenure.start();
-        pulse.every(100, this::look);
+        pulse.every(READY_LOOK_MS, this::look);
         pulse.every(GOSSIP_MS, this::gossip);
     }
 
--- a/src/main/java/yewjunction/node/VaultNode.java
+++ b/src/main/java/yewjunction/node/VaultNode.java
@@ -86,18 +86,13 @@
             return false;
         }
         // A group that began with too few takes whoever comes.
-        if (!voters.isEmpty() && voters.size() < needed()) {
+        if (!voters.isEmpty() && voters.size() < settings.votersNeeded()) {
             return true;
         }
         final List<String> first = voters.isEmpty() ? tenure.facts().vaults() : voters;
         return first.stream().map(Ledger::address).anyMatch(voter -> voter.equals(address) || retiring.contains(voter));
     }
 
-    /** As many voters that a majority outlasts the losses to be borne. */
-    private int needed() {
-        return 2 * Math.max(1, settings.lossesBorne()) + 1;
-    }
-
     private void emptyRetiring(final List<String> voters) {
         final Set<String> retiring = tenure.facts().retiringAddresses();
         final List<String> emptied = new ArrayList<>();
@@ -110,7 +105,7 @@
         tenure.emptied(emptied);
         final List<String> staying = voters.stream().filter(voter -> !retiring.contains(Ledger.address(voter))).toList();
         // The newcomer first, then the old one goes; a leader that is to go hands over before.
-        if (staying.size() < voters.size() && staying.size() >= needed() && staying.stream().allMatch(voter ->
+        if (staying.size() < voters.size() && staying.size() >= settings.votersNeeded() && staying.stream().allMatch(voter ->
             voter.equals(ledger.identity()) || ledger.nearEnd(voter))) {
             if (retiring.contains(address)) {
                 ledger.handOver(() -> { });
--- a/src/main/java/yewjunction/settings/Settings.java
+++ b/src/main/java/yewjunction/settings/Settings.java
@@ -139,6 +139,11 @@
         return seeds.stream().map(seed -> Addresses.ip(seed) + ":" + (firstPort + CRUX_OFFSET)).distinct().toList();
     }
 
+    /** Two copies must outlast the losses to be borne: so many voters make a majority without them. */
+    public int votersNeeded() {
+        return 2 * Math.max(1, lossesBorne) + 1;
+    }
+
     public String address(final int offset) {
         return ip + ":" + (firstPort + offset);
     }
