--- a/src/main/java/yewjunction/app/Process.java
+++ b/src/main/java/yewjunction/app/Process.java
@@ -14,7 +14,9 @@
 import yewjunction.base.Event;
 import yewjunction.loom.Addresses;
 import yewjunction.loom.Datagrams;
+import yewjunction.ledger.Disk;
 import yewjunction.ledger.LocalDisk;
+import yewjunction.ledger.PassingDisk;
 import yewjunction.loom.Loom;
 import yewjunction.loom.SocketLine;
 import yewjunction.loom.Wires;
@@ -92,8 +94,8 @@
         }
     }
 
-    private LocalDisk disk() {
-        return new LocalDisk(Path.of(settings.dataFolder()));
+    private Disk disk() {
+        return settings.dataFolder().isEmpty() ? new PassingDisk() : new LocalDisk(Path.of(settings.dataFolder()));
     }
 
     /** Opens the doors to the outside that this duty has. */
--- a/src/main/java/yewjunction/app/Worker.java
+++ b/src/main/java/yewjunction/app/Worker.java
@@ -2,10 +2,14 @@
 
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import yewjunction.base.Defect;
 import yewjunction.base.Event;
 import yewjunction.base.Pulse;
 import yewjunction.ledger.Clerk;
 
+import static yewjunction.base.Defect.Code.LEDGER_FULL;
+import static yewjunction.base.Limits.DISK_AGAIN_MS;
+
 /** The pool for blocking work: disk syncs, in order. It shares no table with the owner, so there is no lock to order. */
 final class Worker implements Clerk {
     private final Pulse pulse;
@@ -23,13 +27,36 @@
     public void work(final Runnable blocking, final Runnable afterwards) {
         pool.execute(() -> {
             try {
-                blocking.run();
-            } catch (final RuntimeException defect) {
-                // A disk that fails a write or a sync can no longer be trusted: better down than wrong.
+                insist(blocking);
+            } catch (final RuntimeException | InterruptedException defect) {
+                // A disk that fails a sync can no longer be trusted: better down than wrong.
                 Event.DISK_FAILED.warn(String.valueOf(defect.getMessage()), defect);
                 Runtime.getRuntime().halt(Main.EXIT_DISK);
             }
             pulse.post(afterwards);
         });
     }
+
+    /** A full disk takes nothing and nothing is acknowledged; once there is room the very same is written. */
+    private static void insist(final Runnable blocking) throws InterruptedException {
+        boolean told = false;
+        while (true) {
+            try {
+                blocking.run();
+                if (told) {
+                    Event.DISK_TAKES.info("after a while without room");
+                }
+                return;
+            } catch (final Defect defect) {
+                if (defect.code() != LEDGER_FULL) {
+                    throw defect;
+                }
+                if (!told) {
+                    Event.DISK_FULL.warn(defect.getMessage());
+                    told = true;
+                }
+                Thread.sleep(DISK_AGAIN_MS);
+            }
+        }
+    }
 }
--- a/src/main/java/yewjunction/base/Limits.java
+++ b/src/main/java/yewjunction/base/Limits.java
@@ -77,9 +77,11 @@
     public static final int NEWS_TIMES = 6;
     /** one probe in so many goes to another zone: cross-zone bytes are dear. */
     public static final int PROBE_ACROSS_EVERY = 6;
-    /** ms; pace of asking the seeds until one answers. */
+    /** siblings; told in one datagram: about 100 bytes each, and a large datagram is lost whole. */
+    public static final int CREW_PER_LETTER = 24;
+    /** ms; pace of asking the seeds until one answers; from then on three times slower each time. */
     public static final long JOIN_MS = 300;
-    /** ms; pace of asking a seed again later: heals a roster that split while links were cut. */
+    /** ms; the slowest pace of asking a seed again: heals a roster that split while links were cut. */
     public static final long REJOIN_MS = 10_000;
 
     // --- ledger ---
@@ -117,6 +119,19 @@
     /** entries; a newcomer this close to the end may become a voter. */
     public static final int CAUGHT_UP_ENTRIES = 50;
 
+    /** ms; a voter that answers nothing for so long loses its seat to a spare one: well below the time in which a
+        replaced machine must count again, well above an election. */
+    public static final long VOTER_SILENT_MS = 1_500;
+    /** ms; the same for one that answers but whose disk takes nothing. */
+    public static final long VOTER_LAGS_MS = 2_500;
+    /** ms; a member that has heard no leader for so long asks around: it may have lost its seat meanwhile. */
+    public static final long ASK_AROUND_MS = 2_000;
+
+    /** ms; pace of trying a write again for which the disk had no room. */
+    public static final long DISK_AGAIN_MS = 100;
+    /** ms; a leader whose own disk has held a write for so long hands over: the others' disks do without it. */
+    public static final long DISK_DRAGS_MS = 600;
+
     // --- charter ---
     /** ms; pace of a tide's renewal of its lease. */
     public static final long LEASE_PACE_MS = 600;
@@ -130,6 +145,8 @@
     public static final int LEASE_RETURN = 8;
     /** ms; a renewal without an answer is asked of another crux after this. */
     public static final long LEASE_ANSWER_MS = 500;
+    /** ms; news of facts are gathered this long: a hundred processes that start together make a hundred of them. */
+    public static final long FACTS_BATCH_MS = 200;
     /** ms; an operator's call waits at most this long inside a crux. */
     public static final long CALL_MS = 900;
     /** bytes; a configuration at most. */
@@ -142,15 +159,22 @@
     public static final int CALL_THREADS = 4;
 
     // --- weave ---
-    /** ms; pace of state exchange inside a zone. */
+    /** ms; pace of exchange between an edge and its home, and inside a zone. */
     public static final long GOSSIP_MS = 1_000;
-    /** one exchange in so many also crosses to another zone, by the zone's bridge only. */
-    public static final int GOSSIP_ACROSS_EVERY = 7;
-
-    /** the same while some client of the zone asks for counts, which must not be older than five seconds. */
+    /** one round in so many also compares with homes of other zones, whose bytes are dear. */
+    public static final int GOSSIP_ACROSS_EVERY = 12;
+    /** the same while some client asks for counts, which must not be older than five seconds. */
     public static final int GOSSIP_ACROSS_COUNTING = 2;
     /** ms; a zone counts as asking for this long after a question. */
     public static final long COUNTING_MS = 10_000;
+    /** cells; one answer to a digest at most: about 12 bytes each on the wire. */
+    public static final int GAUGE_CELLS = 40_000;
+    /** rounds; an edge compares with its home this seldom, since it hears of what concerns it at once. */
+    public static final int GAUGE_EDGE_EVERY = 5;
+    /** cells; what such a comparison may bring: an edge's link is narrow where edges are many. */
+    public static final int GAUGE_EDGE_CELLS = 600;
+    /** ms; a home that has not counted by then is not waited for. */
+    public static final long TALLY_MS = 250;
 
     // --- vault ---
     /** ms; kept beyond a space's LingerS: covers late starts of the clock on other disks. */
--- a/src/main/java/yewjunction/charter/Crux.java
+++ b/src/main/java/yewjunction/charter/Crux.java
@@ -1,12 +1,15 @@
 package yewjunction.charter;
 
 import java.util.List;
+import java.util.Set;
 import yewjunction.base.Post;
 import yewjunction.base.Pulse;
 import yewjunction.ledger.Clerk;
 import yewjunction.ledger.Disk;
 import yewjunction.ledger.Ledger;
+import yewjunction.ledger.Seating;
 import yewjunction.roster.Roster;
+import yewjunction.settings.Settings;
 
 import static yewjunction.base.Limits.ENROL_MS;
 
@@ -20,16 +23,20 @@
     private final Lessor lessor;
     private final Desk desk;
     private final String ownAddress;
+    /** Without a disk of its own it only serves: what it promised would end with its process. */
+    private final boolean votes;
 
     public Crux(final Pulse pulse, final Post post, final Disk disk, final Clerk clerk, final Roster roster,
-            final String ownAddress, final int voterCount) {
+            final String ownAddress, final Settings settings) {
         this.pulse = pulse;
         this.roster = roster;
         this.ownAddress = ownAddress;
+        votes = !settings.dataFolder().isEmpty();
         final Core core = new Core(this);
         ledger = new Ledger(GROUP, pulse, post, disk, clerk, "charter", core);
         ledger.listen();
-        final Registrar registrar = new Registrar(pulse, post, core, ledger, roster, voterCount);
+        ledger.electorate().seat(new Seating(settings.votersNeeded(), Set::of, roster::zoneAt));
+        final Registrar registrar = new Registrar(pulse, post, core, ledger, roster, settings.votersNeeded());
         lessor = new Lessor(pulse, post, core, ledger, registrar);
         desk = new Desk(core, ledger, registrar, new Outlook(core, ledger, roster, registrar));
     }
@@ -37,7 +44,7 @@
     /** With an empty disk: a founder takes its place among the seeds, any other joins under a new name. */
     public void start(final boolean founding, final List<String> seedAddresses, final String drawnName) {
         if (ledger.identity() == null) {
-            final boolean founder = founding && seedAddresses.contains(ownAddress);
+            final boolean founder = votes && founding && seedAddresses.contains(ownAddress);
             ledger.name(ownAddress + "#" + (founder ? "founder" : drawnName));
             if (founder) {
                 ledger.found(seedAddresses.stream().sorted().map(address -> address + "#founder").toList());
@@ -48,11 +55,11 @@
     }
 
     private void joinWhileOutside(final List<String> seedAddresses) {
-        if (!ledger.voters().contains(ledger.identity())) {
+        if (!ledger.voters().contains(ledger.identity()) || ledger.leaderless()) {
             final List<String> known = new java.util.ArrayList<>(seedAddresses);
             roster.up("crux").forEach(sibling -> known.add(sibling.address));
             known.stream().distinct().filter(address -> !address.equals(ownAddress))
-                .forEach(address -> ledger.join(address, true));
+                .forEach(address -> ledger.join(address, votes));
         }
     }
 
@@ -74,7 +81,7 @@
     @Override
     public void factsChanged() {
         if (lessor != null) {
-            lessor.tell();
+            lessor.tellFacts();
         }
     }
 
--- a/src/main/java/yewjunction/charter/Lessor.java
+++ b/src/main/java/yewjunction/charter/Lessor.java
@@ -1,9 +1,11 @@
 package yewjunction.charter;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import yewjunction.base.Link;
 import yewjunction.base.Post;
 import yewjunction.base.Pulse;
@@ -13,6 +15,7 @@
 import yewjunction.charter.Letters.Renew;
 import yewjunction.ledger.Ledger;
 
+import static yewjunction.base.Limits.FACTS_BATCH_MS;
 import static yewjunction.base.Limits.LEASE_ANSWER_MS;
 import static yewjunction.base.Limits.LEASE_BATCH_MS;
 import static yewjunction.base.Limits.LEASE_MS;
@@ -28,9 +31,11 @@
     private List<Asked> waiting = new ArrayList<>();
     private List<Asked> underWay = new ArrayList<>();
     private final List<Proven> proven = new ArrayList<>();
+    private final Set<Link> unnamed = new HashSet<>();
     private long number;
     private long askedMs;
     private boolean telling;
+    private boolean tellingFacts;
     private boolean batching;
 
     private record Asked(Link link, Renew renew, long atMs) {
@@ -49,12 +54,18 @@
         post.on(Renew.class, this::renew);
         post.on(Confirm.class, this::confirm);
         post.on(Confirmed.class, (link, confirmed) -> confirmed(confirmed));
-        post.onClose(subscribers::remove);
+        post.onClose(link -> {
+            subscribers.remove(link);
+            unnamed.remove(link);
+        });
     }
 
     private void renew(final Link link, final Renew renew) {
         subscribers.put(link, renew);
         registrar.heard(renew.who);
+        if (renew.who.duty.equals("tide") && !named(renew)) {
+            unnamed.add(link);
+        }
         // The newest question of an asker stands for its earlier ones.
         waiting.removeIf(asked -> asked.link == link);
         waiting.add(new Asked(link, renew, pulse.nowMs()));
@@ -163,20 +174,47 @@
         return lease;
     }
 
-    /** Tells all subscribers; what one turn changes goes out in one letter. */
+    /** Tells all subscribers of a configuration; what one turn changes goes out in one letter. */
     void tell() {
-        if (telling) {
-            return;
+        if (!telling) {
+            telling = true;
+            pulse.post(this::tellAll);
+        }
+    }
+
+    private void tellAll() {
+        telling = false;
+        subscribers.forEach(this::tell);
+    }
+
+    private void tell(final Link link, final Renew known) {
+        final Lease news = news(known);
+        if (news.json != null || news.facts != null) {
+            link.send(news);
         }
-        telling = true;
-        pulse.post(() -> {
-            telling = false;
-            subscribers.forEach((link, known) -> {
-                final Lease news = news(known);
-                if (news.json != null || news.facts != null) {
-                    link.send(news);
+    }
+
+    /** Other facts change in bursts, one for each process that starts: only who waits for its name hears at once. */
+    void tellFacts() {
+        for (final Link link : List.copyOf(unnamed)) {
+            final Renew known = subscribers.get(link);
+            if (known == null || named(known)) {
+                unnamed.remove(link);
+                if (known != null) {
+                    tell(link, known);
                 }
+            }
+        }
+        if (!tellingFacts) {
+            tellingFacts = true;
+            pulse.after(FACTS_BATCH_MS, () -> {
+                tellingFacts = false;
+                tellAll();
             });
-        });
+        }
+    }
+
+    private boolean named(final Renew renew) {
+        return core.facts().replica(renew.who.address, renew.who.life) != 0;
     }
 }
--- a/src/main/java/yewjunction/dock/Boarding.java
+++ b/src/main/java/yewjunction/dock/Boarding.java
@@ -43,12 +43,16 @@
         sub.instance = weave.add(sub.topic, sub.berth.client);
         final long errand = ++errands;
         joining.put(errand, sub);
-        envoy.notice(errand, sub.topic, sub.instance, sub.position);
+        notice(errand, sub);
     }
 
     /** A new home knows nothing of what the old one was asked. */
     void noticeAgain() {
-        joining.forEach((errand, sub) -> envoy.notice(errand, sub.topic, sub.instance, sub.position));
+        joining.forEach(this::notice);
+    }
+
+    private void notice(final long errand, final Sub sub) {
+        envoy.notice(errand, sub.topic, sub.berth.client, sub.instance, sub.position);
     }
 
     void taken(final long errand, final boolean expired, final long position, final List<Message> behind) {
--- a/src/main/java/yewjunction/dock/Dock.java
+++ b/src/main/java/yewjunction/dock/Dock.java
@@ -38,7 +38,7 @@
     private LongPredicate live = replica -> true;
     private Drain drain;
     private long heldMs;
-    private long countedMs = Long.MIN_VALUE / 2;
+    private Envoy envoy;
 
     public Dock(final Pulse pulse, final Post post, final Tenure tenure, final Weave weave, final double pingS) {
         this.pulse = pulse;
@@ -52,6 +52,7 @@
     }
 
     public void envoy(final Envoy chosenEnvoy) {
+        envoy = chosenEnvoy;
         boarding.envoy(chosenEnvoy);
     }
 
@@ -84,14 +85,16 @@
         return new ArrayList<>(clients.values());
     }
 
-    /** When a client last asked for a count of subscribers. */
-    public long countedMs() {
-        return countedMs;
-    }
-
-    int count(final String topic) {
-        countedMs = pulse.nowMs();
-        return weave.count(topic, live);
+    /** How many subscribe, from the home, or from here when that does not answer. */
+    void count(final Berth berth, final String topic) {
+        final boolean asked = envoy != null && envoy.weft().tally(topic, count -> {
+            if (berth.line.open()) {
+                berth.count(topic, count >= 0 ? count : weave.count(topic, live));
+            }
+        });
+        if (!asked) {
+            berth.count(topic, weave.count(topic, live));
+        }
     }
 
     void greeted(final Berth berth) {
@@ -215,6 +218,7 @@
         errands.look(nowMs);
         shipping.look(nowMs);
         boarding.look(nowMs);
+        envoy.weft().look();
         for (final Berth berth : berths()) {
             if (nowMs - berth.heardMs > silentMs) {
                 berth.line.close();
--- a/src/main/java/yewjunction/dock/Errands.java
+++ b/src/main/java/yewjunction/dock/Errands.java
@@ -164,7 +164,7 @@
         if (denial != null) {
             berth.refuse("WHO", topic, "", denial);
         } else {
-            berth.count(topic, dock.count(topic));
+            dock.count(berth, topic);
         }
     }
 
--- a/src/main/java/yewjunction/herald/Envoy.java
+++ b/src/main/java/yewjunction/herald/Envoy.java
@@ -7,7 +7,6 @@
 import yewjunction.base.Post;
 import yewjunction.base.Pulse;
 import yewjunction.herald.Letters.Attach;
-import yewjunction.herald.Letters.Cloth;
 import yewjunction.herald.Letters.Flow;
 import yewjunction.herald.Letters.Notice;
 import yewjunction.herald.Letters.Taken;
@@ -25,6 +24,8 @@
     private final Pulse pulse;
     private final Post post;
     private final Weave weave;
+    private final Shuttle shuttle;
+    private final Weft weft;
     private final Supplier<List<String>> vaults;
     private final Watcher watcher;
     private final String node;
@@ -53,15 +54,17 @@
         void gapped();
     }
 
-    /** Vaults: addresses, the own zone's first. */
+    /** Vaults: addresses, the own zone's first. Changed: something of the set may have been merged. */
     public Envoy(final Pulse pulse, final Post post, final Weave weave, final String node,
-            final Supplier<List<String>> vaults, final Watcher watcher) {
+            final Supplier<List<String>> vaults, final Watcher watcher, final Runnable changed) {
         this.pulse = pulse;
         this.post = post;
         this.weave = weave;
         this.node = node;
         this.vaults = vaults;
         this.watcher = watcher;
+        shuttle = new Shuttle(pulse, post, weave, changed);
+        weft = new Weft(pulse, post, weave, shuttle, () -> welcomed ? home : null, changed);
         homelessMs = pulse.nowMs();
         post.on(Welcome.class, this::welcome);
         post.on(Flow.class, this::flow);
@@ -126,8 +129,8 @@
         }
         home = post.dial(known.get(Math.floorMod(shot, known.size())));
         heardMs = pulse.nowMs();
-        // The whole state comes first, so that the stream starts with all this edge's subscriptions.
-        spread();
+        // Its own part of the set comes first, so that the stream starts with all this edge's subscriptions.
+        shuttle.push(home, List.of(weave.self()), weave.mark(weave.self()));
         final Attach attach = new Attach();
         attach.replica = weave.self();
         attach.node = node;
@@ -135,13 +138,9 @@
         home.send(attach);
     }
 
-    /** Sends the home this edge's state of the set. */
-    public void spread() {
-        if (home != null) {
-            final Cloth cloth = new Cloth();
-            cloth.state = weave.state();
-            home.send(cloth);
-        }
+    /** This edge's side of the exchange of the set. */
+    public Weft weft() {
+        return weft;
     }
 
     private void leave() {
@@ -228,11 +227,12 @@
         }
     }
 
-    public void notice(final long errand, final String topic, final long instance, final long position) {
+    public void notice(final long errand, final String topic, final String client, final long instance, final long position) {
         if (welcomed) {
             final Notice notice = new Notice();
             notice.errand = errand;
             notice.topic = topic;
+            notice.client = client;
             notice.instance = instance;
             notice.position = position;
             home.send(notice);
--- a/src/main/java/yewjunction/herald/Home.java
+++ b/src/main/java/yewjunction/herald/Home.java
@@ -10,7 +10,6 @@
 import yewjunction.base.Post;
 import yewjunction.base.Pulse;
 import yewjunction.herald.Letters.Attach;
-import yewjunction.herald.Letters.Cloth;
 import yewjunction.herald.Letters.Flow;
 import yewjunction.herald.Letters.Notice;
 import yewjunction.herald.Letters.Taken;
@@ -55,7 +54,6 @@
         post.on(Attach.class, this::attach);
         post.on(Notice.class, this::notice);
         post.on(Word.class, (link, word) -> { });
-        post.on(Cloth.class, (link, cloth) -> weave.receive(cloth.state));
         post.onClose(link -> {
             final Port port = ports.remove(link);
             if (port != null) {
@@ -65,6 +63,13 @@
         pulse.every(HOME_BEAT_MS, this::beat);
     }
 
+    /** The attached edges' replicas. */
+    Map<Link, Long> edges() {
+        final Map<Link, Long> edges = new LinkedHashMap<>();
+        ports.forEach((link, port) -> edges.put(link, port.replica));
+        return edges;
+    }
+
     private String leader() {
         return ledger.leader() == null ? "" : Ledger.address(ledger.leader());
     }
@@ -97,6 +102,8 @@
         }
         // The stream first: what is behind the position and on its way already stays in order.
         flow(link, port, false);
+        // The client has come to this edge: what it held at others is cancelled, which the edge itself may not know of.
+        weave.takenOver(notice.topic, notice.client, port.replica);
         port.early.merge(notice.topic, notice.instance, Math::max);
         final Taken taken = new Taken();
         taken.errand = notice.errand;
--- a/src/main/java/yewjunction/herald/Letters.java
+++ b/src/main/java/yewjunction/herald/Letters.java
@@ -12,7 +12,8 @@
 
     public static void know(final Codec codec) {
         codec.know(90, Attach.class).know(91, Welcome.class).know(92, Flow.class).know(93, Notice.class)
-            .know(94, Taken.class).know(95, Word.class).know(96, Cloth.class);
+            .know(94, Taken.class).know(95, Word.class).know(96, Cloth.class).know(97, Gauge.class)
+            .know(98, Match.class).know(99, Tally.class).know(100, Tallied.class);
     }
 
     /** An edge asks a vault to be its home, from the last index it has processed; -1 for a fresh one. */
@@ -20,6 +21,8 @@
         long replica;
         String node = "";
         long last;
+        /** The digest of the edge's own part of the set, which came just before. */
+        long mark;
     }
 
     static final class Welcome {
@@ -41,6 +44,7 @@
     static final class Notice {
         long errand;
         String topic = "";
+        String client = "";
         long instance;
         /** Messages behind this are wanted; -1 for new ones only. */
         long position;
@@ -58,10 +62,36 @@
         long last;
     }
 
-    /** A whole state of the set. */
-    public static final class Cloth {
-        public byte[] state = new byte[0];
-        /** Inside a zone: a client asked the sender for a count lately. */
-        public boolean counting;
+    /** Whole states of some parts of the set. */
+    static final class Cloth {
+        byte[] state = new byte[0];
+        /** The digest of the sending edge's own part; 0 from others. */
+        long mark;
+    }
+
+    /** Digests of what the sender holds: asks for the parts that differ. */
+    static final class Gauge {
+        byte[] marks = new byte[0];
+        /** Cells that the answer may carry, about. */
+        int mostCells;
+        /** Whether the sender answers in kind. */
+        boolean mutual;
+    }
+
+    /** The answer to a gauge: parts that differ, and which of the asker's are wanted. */
+    static final class Match {
+        byte[] state = new byte[0];
+        List<Long> wanted = new ArrayList<>();
+    }
+
+    /** A client of the edge asks how many subscribe a topic. */
+    static final class Tally {
+        long errand;
+        String topic = "";
+    }
+
+    static final class Tallied {
+        long errand;
+        int count;
     }
 }
--- /dev/null
+++ b/src/main/java/yewjunction/herald/Warp.java
@@ -0,0 +1,104 @@
+package yewjunction.herald;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.LongPredicate;
+import yewjunction.base.Link;
+import yewjunction.base.Post;
+import yewjunction.base.Pulse;
+import yewjunction.herald.Letters.Cloth;
+import yewjunction.herald.Letters.Tallied;
+import yewjunction.herald.Letters.Tally;
+import yewjunction.roster.Roster;
+import yewjunction.roster.Sibling;
+import yewjunction.weave.Weave;
+
+import static yewjunction.base.Limits.COUNTING_MS;
+import static yewjunction.base.Limits.GAUGE_CELLS;
+import static yewjunction.base.Limits.GOSSIP_ACROSS_COUNTING;
+import static yewjunction.base.Limits.GOSSIP_ACROSS_EVERY;
+import static yewjunction.base.Limits.GOSSIP_MS;
+
+/**
+ * A home's side of the exchange of the set: gathers the parts of its edges, compares with the homes of other edges, and
+ * tells an edge what others changed in its own part.
+ */
+public final class Warp {
+    private final Pulse pulse;
+    private final Post post;
+    private final Weave weave;
+    private final Roster roster;
+    private final Home home;
+    private final Shuttle shuttle;
+    private final LongPredicate live;
+    /** What each edge holds of its own part, by the digest it named. */
+    private final Map<Link, Long> marks = new HashMap<>();
+    private long rounds;
+    private long countingMs = Long.MIN_VALUE / 2;
+
+    public Warp(final Pulse pulse, final Post post, final Weave weave, final Roster roster, final Home home,
+            final LongPredicate live) {
+        this.pulse = pulse;
+        this.post = post;
+        this.weave = weave;
+        this.roster = roster;
+        this.home = home;
+        this.live = live;
+        shuttle = new Shuttle(pulse, post, weave, () -> { });
+        post.on(Cloth.class, (link, cloth) -> {
+            weave.receive(cloth.state);
+            if (cloth.mark != 0) {
+                marks.put(link, cloth.mark);
+            }
+        });
+        post.on(Tally.class, this::tally);
+        post.onClose(marks::remove);
+        pulse.every(GOSSIP_MS, this::round);
+    }
+
+    private void tally(final Link link, final Tally tally) {
+        countingMs = pulse.nowMs();
+        final Tallied tallied = new Tallied();
+        tallied.errand = tally.errand;
+        tallied.count = weave.count(tally.topic, live);
+        link.send(tallied);
+    }
+
+    private void round() {
+        rounds++;
+        // Other homes look for those that have edges: the rest need not know the set.
+        roster.ready(!home.edges().isEmpty());
+        home.edges().forEach((link, replica) -> {
+            final long mark = weave.mark(replica);
+            if (marks.getOrDefault(link, 0L) != mark) {
+                marks.put(link, mark);
+                shuttle.push(link, List.of(replica), 0);
+            }
+        });
+        if (!home.edges().isEmpty()) {
+            compare();
+        }
+    }
+
+    /** Inside the zone with one other home a round; across zones seldom, unless somebody asks for counts. */
+    private void compare() {
+        final Map<String, Sibling> partners = new HashMap<>();
+        final List<Sibling> homes = roster.up("vault");
+        java.util.Collections.shuffle(homes, pulse.luck());
+        for (final Sibling sibling : homes) {
+            if (sibling.ready) {
+                partners.putIfAbsent(sibling.zone, sibling);
+            }
+        }
+        final boolean counting = pulse.nowMs() - countingMs < COUNTING_MS;
+        final boolean across = rounds % (counting ? GOSSIP_ACROSS_COUNTING : GOSSIP_ACROSS_EVERY) == 0;
+        partners.forEach((zone, sibling) -> {
+            // Both sides give and take, so one of them asks: whoever has the need, or else the first by address.
+            final boolean asks = counting || roster.self().address.compareTo(sibling.address) < 0;
+            if (zone.equals(roster.self().zone) || across && asks) {
+                shuttle.compare(post.dial(sibling.address), GAUGE_CELLS, true);
+            }
+        });
+    }
+}
--- a/src/main/java/yewjunction/ledger/Course.java
+++ b/src/main/java/yewjunction/ledger/Course.java
@@ -26,6 +26,7 @@
     /** Entries on their way to the disk, in the order they will get there. */
     private static final class Write {
         long lastIndex;
+        long atMs;
     }
 
     private record Proposal(long term, Consumer<Boolean> done) {
@@ -55,6 +56,11 @@
         return syncedIndex;
     }
 
+    /** For how long the disk has owed its oldest write. */
+    long owedMs() {
+        return writes.isEmpty() ? 0 : ledger.pulse.nowMs() - writes.peek().atMs;
+    }
+
     void await(final long index, final long term, final Consumer<Boolean> done) {
         proposals.put(index, new Proposal(term, done));
     }
@@ -71,6 +77,7 @@
         }
         final Write write = new Write();
         write.lastIndex = entries.get(entries.size() - 1).index;
+        write.atMs = ledger.pulse.nowMs();
         writes.add(write);
         ledger.archive.append(entries, () -> {
             writes.remove(write);
--- a/src/main/java/yewjunction/ledger/Electorate.java
+++ b/src/main/java/yewjunction/ledger/Electorate.java
@@ -1,10 +1,11 @@
 package yewjunction.ledger;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import yewjunction.base.Event;
-import yewjunction.ledger.Leading.Standing;
 import yewjunction.ledger.Letters.HandOver;
 
 import static yewjunction.base.Limits.APPEND_AGAIN_MS;
@@ -12,19 +13,25 @@
 import static yewjunction.base.Limits.CAUGHT_UP_ENTRIES;
 import static yewjunction.base.Limits.ELECT_MOST_MS;
 import static yewjunction.base.Limits.HAND_OVER_MS;
+import static yewjunction.base.Limits.VOTER_SILENT_MS;
 
 /** Who votes, and who leads next: a leader changes voters one at a time and hands over before it stops. */
-final class Electorate {
+public final class Electorate {
     private final Ledger ledger;
     private final Leading leading;
     private boolean handing;
     private boolean handed;
+    private Seating seating = Seating.OPEN;
 
     Electorate(final Ledger ledger, final Leading leading) {
         this.ledger = ledger;
         this.leading = leading;
     }
 
+    public void seat(final Seating chosenSeating) {
+        seating = chosenSeating;
+    }
+
     void reset() {
         handing = false;
         handed = false;
@@ -34,7 +41,8 @@
         return handing;
     }
 
-    boolean nearEnd(final String identity) {
+    /** Whether a member is within a few entries of this leader's end. */
+    public boolean nearEnd(final String identity) {
         final Standing standing = leading.standings.get(identity);
         return standing != null && standing.match + CAUGHT_UP_ENTRIES >= ledger.log.lastIndex();
     }
@@ -43,7 +51,7 @@
         return ledger.log.lastVotersIndex() > ledger.commit();
     }
 
-    void change(final List<String> newVoters) {
+    public void change(final List<String> newVoters) {
         // One change at a time, and only by a leader that has committed in its own term.
         if (ledger.leads() && !changing() && !newVoters.equals(ledger.voters())) {
             newVoters.forEach(leading::standing);
@@ -51,32 +59,78 @@
         }
     }
 
-    /** A newcomer at a voter's address means that the voter's disk is gone: first the old goes, then the new comes. */
+    /**
+     * Fills the seats. A newcomer at a voter's address means that the voter's disk is gone; a voter that is silent, or
+     * whose disk no longer takes what others have taken, loses its seat to a newcomer that does better. First the old
+     * goes, then the new comes: two changes of one voter each.
+     */
     void settle() {
         if (!ledger.leads() || changing()) {
             return;
         }
         final List<String> voters = ledger.voters();
         final long nowMs = ledger.pulse.nowMs();
-        for (final Map.Entry<String, Standing> one : leading.standings.entrySet()) {
+        leading.standings.entrySet().removeIf(one -> !voters.contains(one.getKey())
+            && nowMs - one.getValue().heardMs > 20 * ELECT_MOST_MS);
+        leading.standings.forEach((identity, standing) -> standing.keepUp(ledger.commit(), nowMs));
+        final String newcomer = newcomer(voters, nowMs);
+        if (newcomer == null) {
+            return;
+        }
+        final String lost = lost(voters, Ledger.address(newcomer), nowMs);
+        final List<String> newVoters = new ArrayList<>(voters);
+        if (lost != null) {
+            newVoters.remove(lost);
+        } else if (staying(voters) < seating.seats()) {
+            newVoters.add(newcomer);
+        }
+        change(newVoters);
+    }
+
+    private long staying(final List<String> voters) {
+        final Set<String> leaving = seating.leaving().get();
+        return voters.stream().filter(voter -> !leaving.contains(Ledger.address(voter))).count();
+    }
+
+    /** Of those that want a vote, the one whose machine voted before, else one in the zone with the fewest voters. */
+    private String newcomer(final List<String> voters, final long nowMs) {
+        final Set<String> leaving = seating.leaving().get();
+        return leading.standings.entrySet().stream()
             // Only one that answers right now: an identity whose disk is gone again stays out.
-            if (!one.getValue().wantsVote || voters.contains(one.getKey()) || !nearEnd(one.getKey())
-                || nowMs - one.getValue().heardMs > APPEND_AGAIN_MS) {
-                continue;
+            .filter(one -> one.getValue().wantsVote && !voters.contains(one.getKey()) && nearEnd(one.getKey())
+                && !one.getValue().lags(nowMs) && nowMs - one.getValue().heardMs <= APPEND_AGAIN_MS
+                && !leaving.contains(Ledger.address(one.getKey())))
+            .map(Map.Entry::getKey)
+            .min(Comparator.comparingLong((String identity) -> votersLike(voters, identity)).thenComparing(identity -> identity))
+            .orElse(null);
+    }
+
+    private long votersLike(final List<String> voters, final String identity) {
+        final String address = Ledger.address(identity);
+        if (voters.stream().anyMatch(voter -> Ledger.address(voter).equals(address))) {
+            return -1;
+        }
+        final String zone = seating.zoneOf().apply(address);
+        return voters.stream().filter(voter -> seating.zoneOf().apply(Ledger.address(voter)).equals(zone)).count();
+    }
+
+    /** The voter that goes for a newcomer, null when none has to. */
+    private String lost(final List<String> voters, final String newAddress, final long nowMs) {
+        String silent = null;
+        for (final String voter : voters) {
+            if (Ledger.address(voter).equals(newAddress)) {
+                return voter;
             }
-            final String address = Ledger.address(one.getKey());
-            final List<String> newVoters = new ArrayList<>(voters);
-            if (!newVoters.removeIf(voter -> Ledger.address(voter).equals(address))) {
-                newVoters.add(one.getKey());
+            final Standing standing = leading.standing(voter);
+            if (!voter.equals(ledger.identity()) && voters.size() >= seating.seats()
+                && (nowMs - standing.heardMs > VOTER_SILENT_MS || standing.lags(nowMs))) {
+                silent = voter;
             }
-            change(newVoters);
-            return;
         }
-        leading.standings.entrySet().removeIf(one -> !voters.contains(one.getKey())
-            && nowMs - one.getValue().heardMs > 20 * ELECT_MOST_MS);
+        return silent;
     }
 
-    void handOver(final Runnable done) {
+    public void handOver(final Runnable done) {
         if (!ledger.leadsTerm() || ledger.voters().size() == 1) {
             done.run();
             return;
--- a/src/main/java/yewjunction/ledger/Leading.java
+++ b/src/main/java/yewjunction/ledger/Leading.java
@@ -12,6 +12,7 @@
 import static yewjunction.base.Limits.APPEND_BYTES;
 import static yewjunction.base.Limits.APPEND_ENTRIES;
 import static yewjunction.base.Limits.BEAT_MS;
+import static yewjunction.base.Limits.DISK_DRAGS_MS;
 import static yewjunction.base.Limits.ELECT_MOST_MS;
 
 /** What a leader does: replicates, commits, confirms its leadership. */
@@ -28,17 +29,6 @@
     private boolean wanted;
     private boolean announced;
 
-    /** How far a sibling is. */
-    static final class Standing {
-        long next;
-        long match;
-        long round;
-        long heardMs;
-        long sentMs;
-        double late;
-        boolean wantsVote;
-    }
-
     Leading(final Ledger ledger) {
         this.ledger = ledger;
         electorate = new Electorate(ledger, this);
@@ -101,7 +91,7 @@
         wanted = true;
         sendAll();
         electorate.settle();
-        if (ledger.leads() && !electorate.handing() && tempo.drags()) {
+        if (ledger.leads() && !electorate.handing() && (tempo.drags() || ledger.course.owedMs() > DISK_DRAGS_MS)) {
             electorate.handOver(tempo::reset);
         }
         ledger.pulse.after(BEAT_MS, () -> beat(ofEra));
--- a/src/main/java/yewjunction/ledger/Ledger.java
+++ b/src/main/java/yewjunction/ledger/Ledger.java
@@ -7,6 +7,7 @@
 import yewjunction.base.Post;
 import yewjunction.base.Pulse;
 
+import static yewjunction.base.Limits.ASK_AROUND_MS;
 import static yewjunction.base.Limits.ELECT_LEAST_MS;
 import static yewjunction.base.Limits.ELECT_MOST_MS;
 
@@ -131,13 +132,9 @@
         }
     }
 
-    public void changeVoters(final List<String> newVoters) {
-        leading.electorate.change(newVoters);
-    }
-
-    /** Whether a member is within a few entries of this leader's end. */
-    public boolean nearEnd(final String identity) {
-        return leading.electorate.nearEnd(identity);
+    /** Who votes, decided by the leader. */
+    public Electorate electorate() {
+        return leading.electorate;
     }
 
     public void learn(final String identity, final boolean wantsVote) {
@@ -149,10 +146,6 @@
         following.join(siblingAddress, wantsVote);
     }
 
-    public void handOver(final Runnable done) {
-        leading.electorate.handOver(done);
-    }
-
     /** Takes the group's letters from the post. */
     public void listen() {
         new Mail(this, following, leading, election).listen();
@@ -181,6 +174,11 @@
         election.restartClock();
     }
 
+    /** Heard of no leader for a while: none is in reach, or this member is no longer told. */
+    public boolean leaderless() {
+        return leaderIdentity == null && pulse.nowMs() - heardMs > ASK_AROUND_MS;
+    }
+
     boolean heardLately() {
         return role == Role.LEADS || leaderIdentity != null && pulse.nowMs() - heardMs < ELECT_LEAST_MS;
     }
--- a/src/main/java/yewjunction/ledger/LocalDisk.java
+++ b/src/main/java/yewjunction/ledger/LocalDisk.java
@@ -15,6 +15,7 @@
 import static java.nio.file.StandardOpenOption.TRUNCATE_EXISTING;
 import static java.nio.file.StandardOpenOption.WRITE;
 import static yewjunction.base.Defect.Code.LEDGER_DISK;
+import static yewjunction.base.Defect.Code.LEDGER_FULL;
 
 /** The real disk: files in one folder. Used by one thread at a time. */
 public final class LocalDisk implements Disk {
@@ -59,13 +60,23 @@
 
     @Override
     public void append(final String name, final byte[] bytes) {
-        guard("append " + name, () -> {
-            final ByteBuffer buffer = ByteBuffer.wrap(bytes);
-            while (buffer.hasRemaining()) {
-                channel(name).write(buffer);
-            }
-            return null;
-        });
+        final long[] before = new long[1];
+        try {
+            final FileChannel channel = channel(name);
+            before[0] = channel.position();
+            write(channel, bytes);
+        } catch (final IOException defect) {
+            // What was written in part goes again, so that the same can be tried once there is room.
+            guard("cut back " + name, () -> channel(name).truncate(before[0]).position(before[0]));
+            throw new Defect(LEDGER_FULL, "append " + name + ": " + defect.getMessage(), defect);
+        }
+    }
+
+    private static void write(final FileChannel channel, final byte[] bytes) throws IOException {
+        final ByteBuffer buffer = ByteBuffer.wrap(bytes);
+        while (buffer.hasRemaining()) {
+            channel.write(buffer);
+        }
     }
 
     @Override
@@ -83,15 +94,19 @@
 
     @Override
     public void replace(final String name, final byte[] bytes) {
-        guard("replace " + name, () -> {
-            final Path fresh = folder.resolve(name + ".new");
-            final FileChannel channel = FileChannel.open(fresh, CREATE, TRUNCATE_EXISTING, READ, WRITE);
-            final ByteBuffer buffer = ByteBuffer.wrap(bytes);
-            while (buffer.hasRemaining()) {
-                channel.write(buffer);
-            }
+        final Path fresh = folder.resolve(name + ".new");
+        final FileChannel channel;
+        try {
+            channel = FileChannel.open(fresh, CREATE, TRUNCATE_EXISTING, READ, WRITE);
+            write(channel, bytes);
             channel.force(true);
             Files.move(fresh, folder.resolve(name), ATOMIC_MOVE);
+        } catch (final IOException defect) {
+            // The old file stands as it was; the new one gives its room back.
+            guard("remove " + fresh, () -> Files.deleteIfExists(fresh));
+            throw new Defect(LEDGER_FULL, "replace " + name + ": " + defect.getMessage(), defect);
+        }
+        guard("replace " + name, () -> {
             try (FileChannel folderChannel = FileChannel.open(folder, READ)) {
                 folderChannel.force(true);
             }
--- /dev/null
+++ b/src/main/java/yewjunction/ledger/Standing.java
@@ -0,0 +1,29 @@
+package yewjunction.ledger;
+
+import static yewjunction.base.Limits.VOTER_LAGS_MS;
+
+/** How far a sibling is. */
+final class Standing {
+    long next;
+    long match;
+    long round;
+    long heardMs;
+    long sentMs;
+    double late;
+    boolean wantsVote;
+    /** What was committed when this was last looked at, and since when the sibling has not taken it. */
+    private long goal;
+    private long goalMs;
+
+    void keepUp(final long commit, final long nowMs) {
+        if (match >= goal || goalMs == 0) {
+            goal = commit;
+            goalMs = nowMs;
+        }
+    }
+
+    /** Answers, perhaps, but its disk does not take what a majority's disks took long ago. */
+    boolean lags(final long nowMs) {
+        return match < goal && nowMs - goalMs > VOTER_LAGS_MS;
+    }
+}
--- a/src/main/java/yewjunction/ledger/Tempo.java
+++ b/src/main/java/yewjunction/ledger/Tempo.java
@@ -1,7 +1,6 @@
 package yewjunction.ledger;
 
 import java.util.List;
-import yewjunction.ledger.Leading.Standing;
 
 import static yewjunction.base.Limits.ELECT_MOST_MS;
 import static yewjunction.base.Limits.LATE_REST_MS;
--- a/src/main/java/yewjunction/node/CruxNode.java
+++ b/src/main/java/yewjunction/node/CruxNode.java
@@ -23,7 +23,7 @@
         this.settings = settings;
         this.life = life;
         crux = new Crux(pulse, post, disk, clerk, roster, settings.address(Settings.CRUX_OFFSET),
-            settings.votersNeeded());
+            settings);
     }
 
     @Override
@@ -38,7 +38,7 @@
 
     @Override
     public void stop(final Runnable ended) {
-        crux.ledger().handOver(() -> {
+        crux.ledger().electorate().handOver(() -> {
             crux.ledger().stop();
             ended.run();
         });
--- a/src/main/java/yewjunction/node/EdgeNode.java
+++ b/src/main/java/yewjunction/node/EdgeNode.java
@@ -1,7 +1,6 @@
 package yewjunction.node;
 
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -14,24 +13,18 @@
 import yewjunction.dock.Dock;
 import yewjunction.dock.Drain;
 import yewjunction.herald.Envoy;
-import yewjunction.herald.Letters.Cloth;
 import yewjunction.loom.Line;
 import yewjunction.roster.Roster;
 import yewjunction.roster.Sibling;
 import yewjunction.settings.Settings;
 import yewjunction.weave.Weave;
 
-import static yewjunction.base.Limits.COUNTING_MS;
-import static yewjunction.base.Limits.GOSSIP_ACROSS_COUNTING;
-import static yewjunction.base.Limits.GOSSIP_ACROSS_EVERY;
-import static yewjunction.base.Limits.GOSSIP_MS;
 import static yewjunction.base.Limits.HOMELESS_MS;
 import static yewjunction.base.Limits.READY_LOOK_MS;
 
 /** An edge machine's data plane: holds clients' links and one replica of the subscription set. */
 public final class EdgeNode implements Node, Tenure.Watcher {
     private final Pulse pulse;
-    private final Post post;
     private final Roster roster;
     private final Settings settings;
     private final String address;
@@ -42,13 +35,9 @@
     private final Envoy envoy;
     private volatile boolean ready;
     private boolean draining;
-    private long spreadChanges = -1;
-    private long rounds;
-    private long countingMs = Long.MIN_VALUE / 2;
 
     public EdgeNode(final Pulse pulse, final Post post, final Roster roster, final Settings settings, final long life) {
         this.pulse = pulse;
-        this.post = post;
         this.roster = roster;
         this.settings = settings;
         this.life = life;
@@ -56,23 +45,15 @@
         tenure = new Tenure(pulse, post, () -> Node.cruxes(roster, settings), this)
             .named(address, settings.node(), settings.zone(), "tide", life);
         dock = new Dock(pulse, post, tenure, weave, settings.pingS());
-        envoy = new Envoy(pulse, post, weave, settings.node(), this::vaults, dock);
+        envoy = new Envoy(pulse, post, weave, settings.node(), this::vaults, dock, dock::setChanged);
         dock.envoy(envoy);
-        dock.live(this::live);
-        post.on(Cloth.class, (link, cloth) -> {
-            if (cloth.counting) {
-                countingMs = pulse.nowMs();
-            }
-            weave.receive(cloth.state);
-            dock.setChanged();
-        });
+        dock.live(replica -> Node.live(replica, weave, tenure, roster));
     }
 
     @Override
     public void start() {
         tenure.start();
         pulse.every(READY_LOOK_MS, this::look);
-        pulse.every(GOSSIP_MS, this::gossip);
     }
 
     /** Vaults, the own zone's first: those the roster knows, and before it knows any, those the core has named. */
@@ -93,12 +74,6 @@
         return new ArrayList<>(addresses);
     }
 
-    private boolean live(final long replica) {
-        final String address = tenure.facts().addressOf(replica);
-        final Sibling sibling = address == null ? null : roster.at(address);
-        return replica == weave.self() || sibling != null && sibling.up();
-    }
-
     private void look() {
         final boolean able = !draining && weave.self() != 0 && tenure.held() && envoy.homelessMs() < HOMELESS_MS
             && !envoy.leader().isEmpty();
@@ -109,40 +84,6 @@
         }
     }
 
-    /** Whole states only: to the home, to one sibling of the zone, and now and then across by the zone's bridge. */
-    private void gossip() {
-        rounds++;
-        final long nowMs = pulse.nowMs();
-        final boolean counting = nowMs - dock.countedMs() < COUNTING_MS;
-        // Counts need the other zones' news sooner; where nobody asks for any, it is not paid for.
-        final long everyRounds = counting || nowMs - countingMs < COUNTING_MS ? GOSSIP_ACROSS_COUNTING : GOSSIP_ACROSS_EVERY;
-        final boolean across = rounds % everyRounds == 0;
-        if (weave.self() == 0 || weave.changes() == spreadChanges && !across) {
-            return;
-        }
-        spreadChanges = weave.changes();
-        envoy.spread();
-        final List<Sibling> near = new ArrayList<>();
-        final List<Sibling> far = new ArrayList<>();
-        for (final Sibling sibling : roster.up("tide")) {
-            (sibling.zone.equals(settings.zone()) ? near : far).add(sibling);
-        }
-        final Cloth cloth = new Cloth();
-        cloth.state = weave.state();
-        if (!near.isEmpty()) {
-            cloth.counting = counting;
-            post.dial(near.get(pulse.luck().nextInt(near.size())).address).send(cloth);
-            cloth.counting = false;
-        }
-        // Cross-zone bytes are dear: one edge a zone speaks for it.
-        final boolean bridge = near.stream().allMatch(sibling -> sibling.address.compareTo(address) > 0);
-        if (bridge && across) {
-            final Set<String> zones = new HashSet<>();
-            java.util.Collections.shuffle(far, pulse.luck());
-            far.stream().filter(sibling -> zones.add(sibling.zone)).forEach(sibling -> post.dial(sibling.address).send(cloth));
-        }
-    }
-
     public Line.Owner greet(final Line line) {
         return dock.greet(line);
     }
--- a/src/main/java/yewjunction/node/Node.java
+++ b/src/main/java/yewjunction/node/Node.java
@@ -1,8 +1,11 @@
 package yewjunction.node;
 
 import java.util.List;
+import yewjunction.charter.Tenure;
 import yewjunction.roster.Roster;
+import yewjunction.roster.Sibling;
 import yewjunction.settings.Settings;
+import yewjunction.weave.Weave;
 
 /** One process's duty. All calls on the owner's thread. */
 public interface Node {
@@ -25,4 +28,11 @@
     static List<String> addresses(final Roster roster, final String duty) {
         return roster.up(duty).stream().map(sibling -> sibling.address).toList();
     }
+
+    /** Whether a replica's clients count as there: its process is up, as far as the roster knows. */
+    static boolean live(final long replica, final Weave weave, final Tenure tenure, final Roster roster) {
+        final String address = tenure.facts().addressOf(replica);
+        final Sibling sibling = address == null ? null : roster.at(address);
+        return replica == weave.self() || sibling != null && sibling.up();
+    }
 }
--- a/src/main/java/yewjunction/node/VaultNode.java
+++ b/src/main/java/yewjunction/node/VaultNode.java
@@ -9,9 +9,11 @@
 import yewjunction.charter.Facts;
 import yewjunction.charter.Tenure;
 import yewjunction.herald.Home;
+import yewjunction.herald.Warp;
 import yewjunction.ledger.Clerk;
 import yewjunction.ledger.Disk;
 import yewjunction.ledger.Ledger;
+import yewjunction.ledger.Seating;
 import yewjunction.roster.Roster;
 import yewjunction.settings.Settings;
 import yewjunction.vault.Cellar;
@@ -52,6 +54,7 @@
         home = new Home(pulse, post, ledger, cellar, weave);
         tenure = new Tenure(pulse, post, () -> Node.cruxes(roster, settings), this)
             .named(address, settings.node(), settings.zone(), "vault", life);
+        new Warp(pulse, post, weave, roster, home, replica -> Node.live(replica, weave, tenure, roster));
     }
 
     @Override
@@ -60,7 +63,7 @@
             ledger.name(address + "#" + Ledger.drawnName(life));
         }
         ledger.start();
-        roster.ready(true);
+        ledger.electorate().seat(new Seating(settings.votersNeeded(), () -> tenure.facts().retiringAddresses(), roster::zoneAt));
         tenure.identity(ledger.identity());
         tenure.start();
         pulse.every(ENROL_MS, this::settleDuties);
@@ -70,8 +73,9 @@
     private void settleDuties() {
         tenure.applied(ledger.applied());
         final List<String> voters = ledger.voters();
-        if (!voters.contains(ledger.identity()) && !tenure.facts().vaults().isEmpty()) {
-            final boolean wanted = wantsVote(voters);
+        if (!tenure.facts().vaults().isEmpty() && (!voters.contains(ledger.identity()) || ledger.leaderless())) {
+            // Whether there is a seat is the leader's matter.
+            final boolean wanted = !tenure.facts().retiringAddresses().contains(address);
             Node.addresses(roster, "vault").forEach(sibling -> ledger.join(sibling, wanted));
         }
         if (ledger.leads()) {
@@ -79,20 +83,6 @@
         }
     }
 
-    /** A machine that is a voter's, or a spare one while a voter is being emptied. */
-    private boolean wantsVote(final List<String> voters) {
-        final Set<String> retiring = tenure.facts().retiringAddresses();
-        if (retiring.contains(address)) {
-            return false;
-        }
-        // A group that began with too few takes whoever comes.
-        if (!voters.isEmpty() && voters.size() < settings.votersNeeded()) {
-            return true;
-        }
-        final List<String> first = voters.isEmpty() ? tenure.facts().vaults() : voters;
-        return first.stream().map(Ledger::address).anyMatch(voter -> voter.equals(address) || retiring.contains(voter));
-    }
-
     private void emptyRetiring(final List<String> voters) {
         final Set<String> retiring = tenure.facts().retiringAddresses();
         final List<String> emptied = new ArrayList<>();
@@ -106,11 +96,11 @@
         final List<String> staying = voters.stream().filter(voter -> !retiring.contains(Ledger.address(voter))).toList();
         // The newcomer first, then the old one goes; a leader that is to go hands over before.
         if (staying.size() < voters.size() && staying.size() >= settings.votersNeeded() && staying.stream().allMatch(voter ->
-            voter.equals(ledger.identity()) || ledger.nearEnd(voter))) {
+            voter.equals(ledger.identity()) || ledger.electorate().nearEnd(voter))) {
             if (retiring.contains(address)) {
-                ledger.handOver(() -> { });
+                ledger.electorate().handOver(() -> { });
             } else {
-                ledger.changeVoters(staying);
+                ledger.electorate().change(staying);
             }
         }
     }
@@ -119,7 +109,7 @@
     public void stop(final Runnable ended) {
         // Edges leave first; the lead goes to a sibling that holds everything.
         home.close();
-        ledger.handOver(() -> {
+        ledger.electorate().handOver(() -> {
             ledger.stop();
             ended.run();
         });
--- /dev/null
+++ b/src/main/java/yewjunction/roster/Hailer.java
@@ -0,0 +1,62 @@
+package yewjunction.roster;
+
+import java.util.ArrayList;
+import java.util.List;
+import yewjunction.base.Pulse;
+import yewjunction.roster.Letters.Crew;
+import yewjunction.roster.Letters.Hail;
+
+import static yewjunction.base.Limits.CREW_PER_LETTER;
+import static yewjunction.base.Limits.JOIN_MS;
+import static yewjunction.base.Limits.REJOIN_MS;
+
+/** Asks seeds who is there, and tells others who ask. */
+final class Hailer {
+    private final Pulse pulse;
+    private final Roster roster;
+    private List<String> seeds = List.of();
+    private long paceMs = JOIN_MS;
+
+    Hailer(final Pulse pulse, final Roster roster) {
+        this.pulse = pulse;
+        this.roster = roster;
+    }
+
+    void seeds(final List<String> newSeeds) {
+        seeds = newSeeds;
+    }
+
+    /**
+     * A newcomer asks again and again at a falling pace: the seeds themselves learn who started together with it, and
+     * news that ride on probes take tens of seconds to tell of a hundred. Later it heals a roster that split.
+     */
+    void start() {
+        if (roster.left()) {
+            return;
+        }
+        final List<String> others = new ArrayList<>(seeds);
+        others.remove(roster.self().address);
+        if (!others.isEmpty()) {
+            roster.send(others.get(pulse.luck().nextInt(others.size())), new Hail());
+        }
+        pulse.after(paceMs, this::start);
+        if (!roster.all().isEmpty()) {
+            paceMs = Math.min(REJOIN_MS, 3 * paceMs);
+        }
+    }
+
+    /** The whole crew, in datagrams of a bounded size. */
+    void answer(final String from) {
+        Crew crew = new Crew();
+        for (final Sibling sibling : roster.all()) {
+            if (sibling.up()) {
+                crew.news.add(sibling.copy());
+            }
+            if (crew.news.size() == CREW_PER_LETTER) {
+                roster.send(from, crew);
+                crew = new Crew();
+            }
+        }
+        roster.send(from, crew);
+    }
+}
--- a/src/main/java/yewjunction/roster/Roster.java
+++ b/src/main/java/yewjunction/roster/Roster.java
@@ -12,21 +12,17 @@
 import java.util.function.Function;
 import yewjunction.base.Event;
 import yewjunction.base.Pulse;
-import yewjunction.roster.Letters.Crew;
 import yewjunction.roster.Letters.Echo;
 import yewjunction.roster.Letters.Hail;
 import yewjunction.roster.Letters.Letter;
 
 import static yewjunction.base.Limits.GONE_MS;
-import static yewjunction.base.Limits.JOIN_MS;
 import static yewjunction.base.Limits.NEWS_PER_PROBE;
 import static yewjunction.base.Limits.NEWS_TIMES;
-import static yewjunction.base.Limits.REJOIN_MS;
 import static yewjunction.base.Limits.SUSPECT_MS;
 
 /** Membership by probing, second opinions and suspicion (SWIM). Its removals change no voters and no data. */
 public final class Roster {
-    private static final int CREW_MOST = 60;
     private final Pulse pulse;
     private final Sibling self;
     private final BiConsumer<String, Object> sender;
@@ -35,8 +31,7 @@
     private final Map<String, Integer> newsLeft = new LinkedHashMap<>();
     private final Prober prober;
     private Function<Sibling, String> planned = sibling -> null;
-    private List<String> seeds = List.of();
-    private long hailedMs;
+    private final Hailer hailer;
     private boolean left;
 
     public Roster(final Pulse pulse, final Sibling self, final BiConsumer<String, Object> sender) {
@@ -44,17 +39,18 @@
         this.self = self;
         this.sender = sender;
         prober = new Prober(pulse, this);
+        hailer = new Hailer(pulse, this);
     }
 
     /** Seeds are sibling addresses of crux processes; some may be stale. */
     public void start(final List<String> firstSeeds) {
-        seeds = firstSeeds;
-        hail();
+        hailer.seeds(firstSeeds);
+        hailer.start();
         prober.start();
     }
 
     public void seeds(final List<String> newSeeds) {
-        seeds = newSeeds;
+        hailer.seeds(newSeeds);
     }
 
     boolean left() {
@@ -86,6 +82,12 @@
         return siblings.get(address);
     }
 
+    /** The zone of an address, empty when it is not known. */
+    public String zoneAt(final String address) {
+        final Sibling sibling = address.equals(self.address) ? self : siblings.get(address);
+        return sibling == null ? "" : sibling.zone;
+    }
+
     public void ready(final boolean ready) {
         if (self.ready != ready) {
             self.ready = ready;
@@ -116,19 +118,6 @@
         newsLeft.put(address, NEWS_TIMES);
     }
 
-    private void hail() {
-        hailedMs = pulse.nowMs();
-        final List<String> others = new ArrayList<>(seeds);
-        others.remove(self.address);
-        if (left || others.isEmpty()) {
-            return;
-        }
-        send(others.get(pulse.luck().nextInt(others.size())), new Hail());
-        if (siblings.isEmpty()) {
-            pulse.after(JOIN_MS, this::hail);
-        }
-    }
-
     /** Who explains why a sibling may be away: planned work, or null for none. */
     public void planned(final Function<Sibling, String> explainer) {
         planned = explainer;
@@ -164,9 +153,6 @@
 
     void sweep() {
         final long nowMs = pulse.nowMs();
-        if (nowMs - hailedMs > REJOIN_MS) {
-            hail();
-        }
         for (final Iterator<Sibling> each = siblings.values().iterator(); each.hasNext();) {
             final Sibling sibling = each.next();
             final long sinceMs = nowMs - changedMs.getOrDefault(sibling.address, nowMs);
@@ -215,9 +201,7 @@
             send(from, new Echo());
         }
         if (letter instanceof Hail) {
-            final Crew crew = new Crew();
-            siblings.values().stream().filter(Sibling::up).limit(CREW_MOST).forEach(one -> crew.news.add(one.copy()));
-            send(from, crew);
+            hailer.answer(from);
         } else {
             prober.take(from, letter);
         }
--- a/src/main/java/yewjunction/settings/Settings.java
+++ b/src/main/java/yewjunction/settings/Settings.java
@@ -60,7 +60,7 @@
             throw new Defect(SETTINGS_FIELD, "PortRange: must be two ports with at least two numbers between them");
         }
         final boolean edge = serves.contains("edge");
-        final boolean disk = serves.contains("ctl") || serves.contains("store");
+        final boolean disk = serves.contains("store") || serves.contains("ctl") && map.get("Datadir") != null;
         final List<String> seeds = texts(map, "Seeds");
         seeds.forEach(seed -> address(seed, "Seeds"));
         final String ip = text(map, "Ip");
--- a/src/main/java/yewjunction/weave/Pattern.java
+++ b/src/main/java/yewjunction/weave/Pattern.java
@@ -10,49 +10,31 @@
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.zip.Deflater;
 import java.util.zip.DeflaterOutputStream;
 import java.util.zip.InflaterInputStream;
-import yewjunction.weave.Presence.Absence;
 
-/** A whole state (v, w) on the wire: each client named once, numbers short, all deflated. */
-record Pattern(Map<String, Map<String, Map<Long, Long>>> active, Map<Long, Long> observed, Map<Long, Absence> absences) {
-    static byte[] pack(final Map<String, Map<String, Map<Long, Long>>> active, final Map<Long, Long> observed,
-            final Map<Long, Absence> absences) {
+/** Panels on the wire: each client named once, numbers short, all deflated; and their digests. */
+final class Pattern {
+    private Pattern() {
+    }
+
+    private interface Writing {
+        void to(DataOutputStream out) throws IOException;
+    }
+
+    static byte[] pack(final Map<Long, Panel> panels) {
         final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         final Deflater deflater = new Deflater(Deflater.BEST_SPEED);
         try (DataOutputStream out = new DataOutputStream(new BufferedOutputStream(new DeflaterOutputStream(bytes, deflater, 4096), 4096))) {
             final Names names = new Names();
-            number(out, observed.size());
-            for (final Map.Entry<Long, Long> one : observed.entrySet()) {
-                number(out, one.getKey());
-                number(out, one.getValue());
-            }
-            number(out, active.size());
-            for (final Map.Entry<String, Map<String, Map<Long, Long>>> topic : active.entrySet()) {
-                out.writeUTF(topic.getKey());
-                number(out, topic.getValue().size());
-                for (final Map.Entry<String, Map<Long, Long>> client : topic.getValue().entrySet()) {
-                    names.write(out, client.getKey());
-                    number(out, client.getValue().size());
-                    for (final Map.Entry<Long, Long> one : client.getValue().entrySet()) {
-                        number(out, one.getKey());
-                        number(out, one.getValue());
-                    }
-                }
-            }
-            number(out, absences.size());
-            for (final Map.Entry<Long, Absence> one : absences.entrySet()) {
+            number(out, panels.size());
+            for (final Map.Entry<Long, Panel> one : panels.entrySet()) {
                 number(out, one.getKey());
-                number(out, one.getValue().number());
-                number(out, one.getValue().clients().size());
-                for (final String client : one.getValue().clients()) {
-                    names.write(out, client);
-                }
+                pack(out, names, one.getValue());
             }
         } catch (final IOException defect) {
             throw new UncheckedIOException(defect);
@@ -62,37 +44,80 @@
         return bytes.toByteArray();
     }
 
-    static Pattern unpack(final byte[] packed) {
-        final Pattern pattern = new Pattern(new HashMap<>(), new HashMap<>(), new HashMap<>());
+    private static void pack(final DataOutputStream out, final Names names, final Panel panel) throws IOException {
+        number(out, panel.observed);
+        number(out, panel.cells.size());
+        for (final Map.Entry<String, Map<String, Long>> topic : panel.cells.entrySet()) {
+            names.write(out, topic.getKey());
+            number(out, topic.getValue().size());
+            for (final Map.Entry<String, Long> client : topic.getValue().entrySet()) {
+                names.write(out, client.getKey());
+                number(out, client.getValue());
+            }
+        }
+        number(out, panel.absenceNumber);
+        number(out, panel.absent.size());
+        for (final String client : panel.absent) {
+            names.write(out, client);
+        }
+    }
+
+    static Map<Long, Panel> unpack(final byte[] packed) {
+        final Map<Long, Panel> panels = new LinkedHashMap<>();
         try (DataInputStream in = new DataInputStream(new BufferedInputStream(new InflaterInputStream(new ByteArrayInputStream(packed)), 4096))) {
             final List<String> names = new ArrayList<>();
             for (long left = number(in); left > 0; left--) {
-                pattern.observed.put(number(in), number(in));
-            }
-            for (long topics = number(in); topics > 0; topics--) {
-                final Map<String, Map<Long, Long>> ofTopic = new HashMap<>();
-                pattern.active.put(in.readUTF(), ofTopic);
-                for (long clients = number(in); clients > 0; clients--) {
-                    final Map<Long, Long> instances = new HashMap<>(2);
-                    ofTopic.put(name(in, names), instances);
-                    for (long left = number(in); left > 0; left--) {
-                        instances.put(number(in), number(in));
+                final Panel panel = new Panel();
+                panels.put(number(in), panel);
+                panel.observed = number(in);
+                for (long topics = number(in); topics > 0; topics--) {
+                    final String topic = name(in, names);
+                    for (long clients = number(in); clients > 0; clients--) {
+                        panel.set(topic, name(in, names), number(in));
                     }
                 }
+                panel.absenceNumber = number(in);
+                for (long clients = number(in); clients > 0; clients--) {
+                    panel.absent.add(name(in, names));
+                }
             }
+        } catch (final IOException defect) {
+            throw new UncheckedIOException(defect);
+        }
+        return panels;
+    }
+
+    /** Digests: names with eight bytes each. */
+    static byte[] packMarks(final Map<Long, Long> marks) {
+        return packed(out -> {
+            number(out, marks.size());
+            for (final Map.Entry<Long, Long> one : marks.entrySet()) {
+                number(out, one.getKey());
+                out.writeLong(one.getValue());
+            }
+        });
+    }
+
+    static Map<Long, Long> unpackMarks(final byte[] packed) {
+        final Map<Long, Long> marks = new HashMap<>();
+        try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(packed))) {
             for (long left = number(in); left > 0; left--) {
-                final long replica = number(in);
-                final long version = number(in);
-                final Set<String> clients = new HashSet<>();
-                for (long count = number(in); count > 0; count--) {
-                    clients.add(name(in, names));
-                }
-                pattern.absences.put(replica, new Absence(version, clients));
+                marks.put(number(in), in.readLong());
             }
         } catch (final IOException defect) {
             throw new UncheckedIOException(defect);
         }
-        return pattern;
+        return marks;
+    }
+
+    private static byte[] packed(final Writing writing) {
+        final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (DataOutputStream out = new DataOutputStream(bytes)) {
+            writing.to(out);
+        } catch (final IOException defect) {
+            throw new UncheckedIOException(defect);
+        }
+        return bytes.toByteArray();
     }
 
     /** Writes a name in full the first time, then its number. */
--- a/src/main/java/yewjunction/weave/Weave.java
+++ b/src/main/java/yewjunction/weave/Weave.java
@@ -1,39 +1,43 @@
 package yewjunction.weave;
 
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.Set;
 import java.util.function.LongPredicate;
 
 /**
  * Replica r holds (r, v, w): v is the last active instance per element and replica, w the observed instances.
- * Element = (topic, client). The rules are those of docs/paper.md; the rest of this class only indexes them.
+ * Element = (topic, client). The rules are those of docs/paper.md. Kept by replica: the rule for (a, s) looks at v(a, s)
+ * and w(s) alone, so what belongs to one s is compared, sent and merged as a whole state of its own.
  */
 public final class Weave {
-    private final Map<String, Map<String, Map<Long, Long>>> active = new HashMap<>();
-    private final Map<Long, Long> observed = new HashMap<>();
-    private final Presence presence = new Presence();
+    private final Map<Long, Panel> panels = new HashMap<>();
+    private final Set<Long> touched = new HashSet<>();
     private Set<Long> liveReplicas = Set.of();
     private long newestReplica;
     private long self;
-    private long changes;
-    private byte[] packed;
-    private long packedChanges;
 
     /** The replica's name; 0 for one that only reads. */
     public void self(final long replica) {
         self = replica;
+        if (replica != 0) {
+            panel(replica);
+        }
     }
 
     public long self() {
         return self;
     }
 
-    /** Goes up whenever this replica's state changes. */
-    public long changes() {
-        return changes;
+    private Panel panel(final long replica) {
+        return panels.computeIfAbsent(replica, key -> new Panel());
     }
 
     /** A new unique instance (self, n): raises w(self) and sets v(a, self). */
@@ -41,50 +45,48 @@
         if (self == 0) {
             throw new IllegalStateException("a replica without a name adds nothing");
         }
-        final long instance = observed.merge(self, 1L, Long::sum);
-        put(topic, client, self, instance);
-        changes++;
-        return instance;
+        final Panel own = panel(self);
+        own.observe(own.observed + 1);
+        own.set(topic, client, own.observed);
+        touched.add(self);
+        return own.observed;
     }
 
     /** Zeroes every v(a, .); w keeps covering the instances, so they cannot come back. */
     public void remove(final String topic, final String client) {
-        final Map<String, Map<Long, Long>> clients = active.get(topic);
-        if (clients != null && clients.remove(client) != null) {
-            changes++;
-            if (clients.isEmpty()) {
-                active.remove(topic);
-            }
-        }
+        remove(topic, client, 0);
     }
 
-    private void put(final String topic, final String client, final long replica, final long instance) {
-        active.computeIfAbsent(topic, key -> new HashMap<>()).computeIfAbsent(client, key -> new HashMap<>(2))
-            .put(replica, instance);
+    /** A remove, and an add at that replica which is known to have followed it: its instance stays. */
+    public void takenOver(final String topic, final String client, final long replica) {
+        remove(topic, client, replica);
     }
 
-    private void zero(final String topic, final String client, final long replica) {
-        final Map<String, Map<Long, Long>> clients = active.get(topic);
-        final Map<Long, Long> instances = clients == null ? null : clients.get(client);
-        if (instances != null && instances.remove(replica) != null && instances.isEmpty()) {
-            remove(topic, client);
-        }
+    private void remove(final String topic, final String client, final long spared) {
+        panels.forEach((replica, panel) -> {
+            if (replica != spared && panel.instance(topic, client) > 0) {
+                panel.set(topic, client, 0);
+                touched.add(replica);
+            }
+        });
     }
 
     /** v(a, s), 0 where there is none. */
     public long instance(final String topic, final String client, final long replica) {
-        return active.getOrDefault(topic, Map.of()).getOrDefault(client, Map.of()).getOrDefault(replica, 0L);
+        final Panel panel = panels.get(replica);
+        return panel == null ? 0 : panel.instance(topic, client);
     }
 
     /** w(s). */
     public long observed(final long replica) {
-        return observed.getOrDefault(replica, 0L);
+        final Panel panel = panels.get(replica);
+        return panel == null ? 0 : panel.observed;
     }
 
     /** Whether another replica than this one has an active instance of the element. */
     public boolean elsewhere(final String topic, final String client) {
-        for (final long replica : active.getOrDefault(topic, Map.of()).getOrDefault(client, Map.of()).keySet()) {
-            if (replica != self) {
+        for (final Map.Entry<Long, Panel> one : panels.entrySet()) {
+            if (one.getKey() != self && one.getValue().instance(topic, client) > 0) {
                 return true;
             }
         }
@@ -93,42 +95,41 @@
 
     /** Whether some client of that replica has an active instance for the topic. */
     public boolean reaches(final String topic, final long replica) {
-        final Map<String, Map<Long, Long>> clients = active.get(topic);
-        if (clients != null) {
-            for (final Map<Long, Long> instances : clients.values()) {
-                if (instances.containsKey(replica)) {
-                    return true;
-                }
-            }
-        }
-        return false;
+        final Panel panel = panels.get(replica);
+        return panel != null && panel.cells.containsKey(topic);
     }
 
     /** Clients that subscribe and are there, each once, over all live replicas. */
     public int count(final String topic, final LongPredicate live) {
-        int count = 0;
-        for (final Map.Entry<String, Map<Long, Long>> one : active.getOrDefault(topic, Map.of()).entrySet()) {
-            for (final long replica : one.getValue().keySet()) {
-                if (live.test(replica) && !presence.away(replica, one.getKey())) {
-                    count++;
-                    break;
-                }
+        final Set<String> there = new HashSet<>();
+        panels.forEach((replica, panel) -> {
+            final Map<String, Long> clients = panel.cells.get(topic);
+            if (clients != null && live.test(replica)) {
+                clients.keySet().stream().filter(client -> !panel.absent.contains(client)).forEach(there::add);
             }
-        }
-        return count;
+        });
+        return there.size();
     }
 
     public void absent(final String client, final boolean away) {
-        if (presence.set(self, client, away)) {
-            changes++;
+        final Panel own = self == 0 ? null : panel(self);
+        if (own != null && own.absent.contains(client) != away) {
+            final Set<String> clients = new HashSet<>(own.absent);
+            if (away) {
+                clients.add(client);
+            } else {
+                clients.remove(client);
+            }
+            own.absence(own.absenceNumber + 1, clients);
+            touched.add(self);
         }
     }
 
     /** Topics of a client with an active instance made here. */
     public List<String> topicsHere(final String client) {
         final List<String> topics = new ArrayList<>();
-        active.forEach((topic, clients) -> {
-            if (clients.getOrDefault(client, Map.of()).containsKey(self)) {
+        panel(self).cells.forEach((topic, clients) -> {
+            if (clients.containsKey(client)) {
                 topics.add(topic);
             }
         });
@@ -137,77 +138,77 @@
 
     // --- exchange ---
 
+    /** Parts changed by this replica's own operations since they were last taken. */
+    public Set<Long> takeTouched() {
+        final Set<Long> taken = new HashSet<>(touched);
+        touched.clear();
+        return taken;
+    }
+
+    /** The whole state. */
     public byte[] state() {
-        // Packed once however many siblings it goes to.
-        if (packed == null || packedChanges != changes) {
-            packed = Pattern.pack(active, observed, presence.all());
-            packedChanges = changes;
-        }
-        return packed;
+        return Pattern.pack(panels);
     }
 
-    /** Merges a whole state; loss, reordering and doubling of states do no harm. */
-    public void receive(final byte[] state) {
-        final Pattern incoming = Pattern.unpack(state);
-        incoming.observed().keySet().removeIf(this::retired);
-        final List<Cell> changedCells = new ArrayList<>();
-        incoming.active().forEach((topic, clients) -> clients.forEach((client, instances) ->
-            instances.forEach((replica, theirs) -> {
-                if (!retired(replica)) {
-                    compare(topic, client, replica, instance(topic, client, replica), theirs, incoming, changedCells);
-                }
-            })));
-        // What only this side has active may have been removed there.
-        active.forEach((topic, clients) -> {
-            final Map<String, Map<Long, Long>> theirClients = incoming.active().getOrDefault(topic, Map.of());
-            clients.forEach((client, instances) -> {
-                final Map<Long, Long> theirInstances = theirClients.getOrDefault(client, Map.of());
-                instances.forEach((replica, mine) -> {
-                    if (!theirInstances.containsKey(replica)) {
-                        compare(topic, client, replica, mine, 0, incoming, changedCells);
-                    }
-                });
-            });
-        });
-        boolean changed = !changedCells.isEmpty();
-        for (final Cell cell : changedCells) {
-            if (cell.merged == 0) {
-                zero(cell.topic, cell.client, cell.replica);
-            } else {
-                put(cell.topic, cell.client, cell.replica, cell.merged);
+    /** The whole states of some parts. */
+    public byte[] state(final Collection<Long> replicas) {
+        final Map<Long, Panel> chosen = new LinkedHashMap<>();
+        for (final long replica : replicas) {
+            if (panels.containsKey(replica)) {
+                chosen.put(replica, panels.get(replica));
             }
         }
-        for (final Map.Entry<Long, Long> one : incoming.observed().entrySet()) {
-            if (one.getValue() > observed(one.getKey())) {
-                observed.put(one.getKey(), one.getValue());
-                changed = true;
+        return Pattern.pack(chosen);
+    }
+
+    /** The digest of a replica's part. */
+    public long mark(final long replica) {
+        final Panel panel = panels.get(replica);
+        return panel == null ? 0 : panel.mark();
+    }
+
+    public byte[] marks() {
+        final Map<Long, Long> marks = new HashMap<>();
+        panels.forEach((replica, panel) -> marks.put(replica, panel.mark()));
+        return Pattern.packMarks(marks);
+    }
+
+    /** Parts held here that differ from those digests, in any order, up to about so many cells. */
+    public List<Long> news(final byte[] theirMarks, final int mostCells, final Random luck) {
+        final Map<Long, Long> theirs = Pattern.unpackMarks(theirMarks);
+        final List<Long> replicas = new ArrayList<>(panels.keySet());
+        Collections.shuffle(replicas, luck);
+        final List<Long> news = new ArrayList<>();
+        int cells = 0;
+        for (final long replica : replicas) {
+            final Panel panel = panels.get(replica);
+            final Long theirMark = theirs.get(replica);
+            if (cells < mostCells && (theirMark == null || theirMark != panel.mark())) {
+                news.add(replica);
+                cells += panel.size();
             }
         }
-        changed |= presence.merge(self, incoming.absences(), this::retired);
-        if (changed) {
-            changes++;
-        }
+        return news;
     }
 
-    private void compare(final String topic, final String client, final long replica, final long mine, final long theirs,
-            final Pattern incoming, final List<Cell> changedCells) {
-        final long merged = merge(mine, theirs, observed(replica), incoming.observed().getOrDefault(replica, 0L));
-        if (merged != mine) {
-            changedCells.add(new Cell(topic, client, replica, merged));
-        }
+    /** Parts named by those digests that differ here or are unknown. */
+    public List<Long> wanted(final byte[] theirMarks) {
+        final List<Long> wanted = new ArrayList<>();
+        Pattern.unpackMarks(theirMarks).forEach((replica, mark) -> {
+            if (!retired(replica) && mark(replica) != mark) {
+                wanted.add(replica);
+            }
+        });
+        return wanted;
     }
 
-    /** The paper's rule for one (a, s). */
-    static long merge(final long mine, final long theirs, final long myObserved, final long theirObserved) {
-        // Newer than the own entry but covered here: it was removed here.
-        if (theirs > mine && theirs <= myObserved) {
-            return 0;
-        }
-        // The same with the two sides swapped.
-        if (mine > theirs && mine <= theirObserved) {
-            return 0;
-        }
-        return Math.max(mine, theirs);
+    /** Merges whole states of some or all parts; loss, reordering and doubling of states do no harm. */
+    public void receive(final byte[] state) {
+        Pattern.unpack(state).forEach((replica, incoming) -> {
+            if (!retired(replica)) {
+                panel(replica).merge(incoming, replica == self);
+            }
+        });
     }
 
     // --- departed replicas ---
@@ -219,24 +220,10 @@
 
     /** Charter's word on which names live; the others' entries are dropped and their w compacted. */
     public void replicas(final long newest, final Set<Long> live) {
-        if (newest < newestReplica) {
-            return;
+        if (newest >= newestReplica) {
+            newestReplica = newest;
+            liveReplicas = Set.copyOf(live);
+            panels.keySet().removeIf(this::retired);
         }
-        newestReplica = newest;
-        liveReplicas = Set.copyOf(live);
-        final List<Cell> dropped = new ArrayList<>();
-        active.forEach((topic, clients) -> clients.forEach((client, instances) -> instances.keySet().forEach(replica -> {
-            if (retired(replica)) {
-                dropped.add(new Cell(topic, client, replica, 0));
-            }
-        })));
-        dropped.forEach(cell -> zero(cell.topic, cell.client, cell.replica));
-        if (observed.keySet().removeIf(this::retired) | presence.drop(this::retired) | !dropped.isEmpty()) {
-            changes++;
-        }
-    }
-
-    /** One (a, s) and what becomes of it. */
-    private record Cell(String topic, String client, long replica, long merged) {
     }
 }
--- a/src/test/java/yewjunction/ledger/LedgerSim.java
+++ b/src/test/java/yewjunction/ledger/LedgerSim.java
@@ -23,6 +23,8 @@
     final Set<Long> acknowledged = new HashSet<>();
     private final Map<Long, String> leaders = new HashMap<>();
     World world;
+    /** Addresses that are to hold no vote. */
+    final Map<String, Boolean> leaving = new TreeMap<>();
     private long proposed;
     private int drawn;
 
@@ -68,6 +70,7 @@
         final Tale tale = new Tale();
         final Ledger ledger = new Ledger(7, host, post, host.disk, host.clerk(), "ledger", tale);
         ledger.listen();
+        ledger.electorate().seat(new Seating(3, leaving::keySet, one -> one.substring(0, 1)));
         if (ledger.identity() == null) {
             ledger.name(address + "#" + (founder ? "founder" : "drawn" + drawn++));
             if (founder) {
@@ -76,8 +79,8 @@
         }
         ledger.start();
         host.every(300, () -> {
-            if (!ledger.voters().contains(ledger.identity())) {
-                addresses.stream().filter(one -> !one.equals(address)).forEach(one -> ledger.join(one, true));
+            if (!ledger.voters().contains(ledger.identity()) || ledger.leaderless()) {
+                ledgers.keySet().stream().filter(one -> !one.equals(address)).forEach(one -> ledger.join(one, true));
             }
         });
         ledgers.put(address, ledger);
@@ -88,7 +91,8 @@
         world = new World(seed);
         addresses.forEach(address -> boot(address, true));
         world.every(7, () -> {
-            final Ledger ledger = ledgers.get(addresses.get(world.luck.nextInt(3)));
+            final List<String> all = List.copyOf(ledgers.keySet());
+            final Ledger ledger = ledgers.get(all.get(world.luck.nextInt(all.size())));
             if (world.host(Ledger.address(ledger.identity())).up() && ledger.leads()) {
                 final long value = ++proposed;
                 ledger.propose(ByteBuffer.allocate(8).putLong(value).array(), done -> {
--- a/src/test/java/yewjunction/ledger/LedgerSimTest.java
+++ b/src/test/java/yewjunction/ledger/LedgerSimTest.java
@@ -36,7 +36,7 @@
                         world.cut(victim, other);
                     }
                 }
-                case 4 -> ledgers.get(victim).handOver(() -> { });
+                case 4 -> ledgers.get(victim).electorate().handOver(() -> { });
                 default -> addresses.forEach(address -> world.host(address).powerOff());
             }
             world.runFor(200 + world.luck.nextInt(2_000));
@@ -80,7 +80,7 @@
         world.loss = 0;
         final Ledger old = leader();
         final long startMs = world.nowMs();
-        old.handOver(() -> { });
+        old.electorate().handOver(() -> { });
         assertTrue(world.runUntil(() -> leader() != null && leader() != old, 2_000));
         assertTrue(world.nowMs() - startMs < 150, "took " + (world.nowMs() - startMs) + " ms");
     }
--- /dev/null
+++ b/src/test/java/yewjunction/ledger/SeatingSimTest.java
@@ -0,0 +1,97 @@
+package yewjunction.ledger;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Three seats and more machines than that: who sits in them when machines go for good, fall silent or stall. */
+class SeatingSimTest extends LedgerSim {
+    private void beginWith(final long seed, final String... spares) {
+        begin(seed);
+        assertTrue(world.runUntil(() -> acknowledged.size() > 50, 10_000));
+        for (final String spare : spares) {
+            boot(spare, false);
+        }
+        world.runFor(2_000);
+    }
+
+    private List<String> voters() {
+        return leader() == null ? List.of() : leader().voters().stream().map(Ledger::address).sorted().toList();
+    }
+
+    private void awaitProgress(final long more, final long withinMs) {
+        final long before = acknowledged.size();
+        assertTrue(world.runUntil(() -> acknowledged.size() > before + more, withinMs), "stuck, voters " + voters());
+    }
+
+    @Test
+    void aSpareMachineTakesNoSeatWhileAllAreFilled() {
+        beginWith(1, "a:2", "b:2");
+        assertEquals(addresses, voters());
+        assertEquals(acknowledged.size(), acknowledged.stream().filter(tales.get("a:2").told::containsValue).count());
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6})
+    void aMachineReplacedAtAnotherAddressIsBackInItsSeatBeforeTheNextLoss(final long seed) {
+        beginWith(seed);
+        world.loss = 0.02;
+        final String gone = addresses.get((int) (seed % 3));
+        world.host(gone).powerOff();
+        world.runFor(1_000);
+        // Empty, and nobody told the others that it stands for the one that went.
+        boot("d:9", false);
+        assertTrue(world.runUntil(() -> voters().contains("d:9") && voters().size() == 3, 4_000), "voters " + voters());
+        // Committed and told: well within the time for which a machine that came back still counts as lost.
+        world.runFor(500);
+        // From now on any other single machine may go, whether with its disk or without.
+        final String next = addresses.get((int) ((seed + 1) % 3));
+        world.host(next).powerOff();
+        if (seed % 2 == 0) {
+            world.host(next).wipe();
+        }
+        awaitProgress(50, 5_000);
+        final String last = addresses.get((int) ((seed + 2) % 3));
+        assertTrue(tales.get(last).told.values().containsAll(acknowledged) || tales.get("d:9").told.values()
+            .containsAll(acknowledged), "an acknowledged entry is gone");
+        assertTrue(!voters().contains(gone), "the departed address votes");
+    }
+
+    @Test
+    void oneThatLostItsSeatWhileItWasCutOffLearnsOfItAndWaitsAsASpare() {
+        beginWith(7, "d:1");
+        final String away = addresses.stream().filter(one -> !one.equals(Ledger.address(leader().identity()))).findFirst().orElseThrow();
+        ledgers.keySet().forEach(other -> world.cut(away, other));
+        assertTrue(world.runUntil(() -> voters().contains("d:1"), 5_000));
+        // Long enough for the leader to forget it altogether.
+        world.runFor(25_000);
+        world.join();
+        world.runFor(6_000);
+        assertEquals(voters().size(), 3);
+        assertTrue(!voters().contains(away));
+        assertTrue(tales.get(away).told.values().containsAll(acknowledged), "it was not brought up to date");
+        assertTrue(!ledgers.get(away).voters().contains(ledgers.get(away).identity()), "it still thinks that it votes");
+    }
+
+    @Test
+    void aVoterWhoseDiskStallsGivesItsSeatToASpareAndALeaderHandsOverFirst() {
+        beginWith(8, "d:1");
+        final String stalled = Ledger.address(leader().identity());
+        world.host(stalled).syncMicros = 60_000_000;
+        assertTrue(world.runUntil(() -> leader() != null && !Ledger.address(leader().identity()).equals(stalled), 4_000));
+        assertTrue(world.runUntil(() -> !voters().contains(stalled) && voters().contains("d:1"), 8_000), "voters " + voters());
+        awaitProgress(100, 3_000);
+    }
+
+    @Test
+    void aLeavingMachineHandsItsSeatOnBeforeItGoes() {
+        beginWith(9, "d:1");
+        leaving.put("b:1", true);
+        assertTrue(world.runUntil(() -> voters().size() == 4, 5_000), "voters " + voters());
+        assertTrue(voters().contains("d:1"));
+    }
+}
--- a/src/test/java/yewjunction/settings/SettingsTest.java
+++ b/src/test/java/yewjunction/settings/SettingsTest.java
@@ -43,7 +43,7 @@
         "PortRange: [7000, 7015]|PortRange: [7000, 7000]|PortRange",
         "Fe: '10.1.0.3:80', |''|Listen.Fe",
         "Seeds: ['10.1.0.3:82', '10.2.0.3:82']|Seeds: [nowhere]|Seeds",
-        "Datadir: /data|''|Datadir",
+        "Datadir: /data|Datadir: ''|Datadir",
         "PingS: 2|PingS: fast|Bounds.PingS",
         "Listen: {|Listen: [{|Listen",
     })
--- a/src/test/java/yewjunction/weave/WeaveTest.java
+++ b/src/test/java/yewjunction/weave/WeaveTest.java
@@ -146,9 +146,10 @@
         }
         // The concurrent add survived the remove, which had seen only the first one.
         assertEquals(2, first.instance("t", "a", 1));
-        final long changes = first.changes();
+        final long mark = first.mark(1);
         first.receive(ofOther);
-        assertEquals(changes, first.changes());
+        assertEquals(mark, first.mark(1));
+        assertEquals(second.mark(1), first.mark(1));
     }
 
     @Test
