--- a/src/main/java/yewjunction/dock/Dock.java
+++ b/src/main/java/yewjunction/dock/Dock.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.LongPredicate;
-import yewjunction.base.Event;
 import yewjunction.base.Post;
 import yewjunction.base.Pulse;
 import yewjunction.charter.Charter;
@@ -16,7 +15,6 @@
 import yewjunction.vault.Message;
 import yewjunction.weave.Weave;
 
-import static yewjunction.base.Limits.CLIENTS_QUEUE_BYTES;
 import static yewjunction.base.Limits.DOCK_SWEEP_MS;
 import static yewjunction.base.Limits.LAPSED_LINKS_MS;
 import static yewjunction.base.Limits.RENEW_MS;
@@ -79,7 +77,7 @@
         return boarding;
     }
 
-    Shipping shipping() {
+    public Shipping shipping() {
         return shipping;
     }
 
@@ -180,6 +178,11 @@
         shipping.leaderIs(address);
     }
 
+    @Override
+    public void leaderHeard() {
+        shipping.leaderHeard();
+    }
+
     public void configChanged(final Charter charter) {
         for (final Berth berth : berths()) {
             for (final String topic : new ArrayList<>(berth.subs.keySet())) {
@@ -224,25 +227,7 @@
                 berth.line.close();
             }
         }
-        cutSlowest();
+        Ballast.cutSlowest(clients.values());
         absentees.look(nowMs);
     }
-
-    /** Readers that stall in numbers would fill the memory together: those that are furthest behind are cut. */
-    private void cutSlowest() {
-        final List<Berth> slow = new ArrayList<>();
-        long waiting = 0;
-        for (final Berth berth : clients.values()) {
-            if (berth.line.waiting() > 0) {
-                slow.add(berth);
-                waiting += berth.line.waiting();
-            }
-        }
-        slow.sort((one, other) -> Integer.compare(other.line.waiting(), one.line.waiting()));
-        for (int place = 0; waiting > CLIENTS_QUEUE_BYTES; place++) {
-            waiting -= slow.get(place).line.waiting();
-            Event.CLIENT_SLOW.info(slow.get(place).client);
-            slow.get(place).line.close();
-        }
-    }
 }
--- /dev/null
+++ b/src/main/java/yewjunction/dock/Intake.java
@@ -0,0 +1,97 @@
+package yewjunction.dock;
+
+import java.util.ArrayDeque;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import yewjunction.vault.Message;
+
+import static yewjunction.base.Limits.INTAKE_BYTES;
+import static yewjunction.base.Limits.INTAKE_MOST;
+
+/** Messages that wait to be offered to a leader: a lane for each tenant, in the order of arrival, and lanes take turns. */
+final class Intake {
+    private final Map<String, ArrayDeque<Parcel>> lanes = new LinkedHashMap<>();
+    private int size;
+    private long bytes;
+
+    /** One message of a client, until it has its final answer. */
+    static final class Parcel {
+        final long errand;
+        final Berth berth;
+        final Message message;
+        final String tenant;
+        final long startMs;
+        final long timeoutMs;
+        /** On its way to a leader right now. */
+        boolean offered;
+        /** Left this edge at least once: then only the leader may promise that it was not accepted. */
+        boolean sent;
+
+        Parcel(final long errand, final Berth berth, final Message message, final String tenant, final long startMs,
+                final long timeoutMs) {
+            this.errand = errand;
+            this.berth = berth;
+            this.message = message;
+            this.tenant = tenant;
+            this.startMs = startMs;
+            this.timeoutMs = timeoutMs;
+        }
+    }
+
+    /** False when there is no room. */
+    boolean add(final Parcel parcel) {
+        if (size >= INTAKE_MOST || bytes >= INTAKE_BYTES) {
+            return false;
+        }
+        put(parcel);
+        return true;
+    }
+
+    /** One that had its place already. */
+    void put(final Parcel parcel) {
+        lanes.computeIfAbsent(parcel.tenant, key -> new ArrayDeque<>()).add(parcel);
+        size++;
+        bytes += parcel.message.body.length;
+    }
+
+    /** The next one of the tenant whose turn it is; the tenant then waits until all others had theirs. */
+    Parcel next() {
+        final Map.Entry<String, ArrayDeque<Parcel>> first = lanes.entrySet().iterator().next();
+        final ArrayDeque<Parcel> lane = lanes.remove(first.getKey());
+        final Parcel parcel = lane.poll();
+        if (!lane.isEmpty()) {
+            lanes.put(first.getKey(), lane);
+        }
+        left(parcel);
+        return parcel;
+    }
+
+    void remove(final Parcel parcel) {
+        final ArrayDeque<Parcel> lane = lanes.get(parcel.tenant);
+        if (lane != null && lane.remove(parcel)) {
+            left(parcel);
+            if (lane.isEmpty()) {
+                lanes.remove(parcel.tenant);
+            }
+        }
+    }
+
+    private void left(final Parcel parcel) {
+        size--;
+        bytes -= parcel.message.body.length;
+    }
+
+    void clear() {
+        lanes.clear();
+        size = 0;
+        bytes = 0;
+    }
+
+    int size() {
+        return size;
+    }
+
+    boolean isEmpty() {
+        return size == 0;
+    }
+}
--- a/src/main/java/yewjunction/dock/Shipping.java
+++ b/src/main/java/yewjunction/dock/Shipping.java
@@ -1,109 +1,179 @@
 package yewjunction.dock;
 
-import java.util.Iterator;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import yewjunction.base.Event;
 import yewjunction.base.Link;
 import yewjunction.base.Post;
 import yewjunction.base.Pulse;
+import yewjunction.dock.Intake.Parcel;
 import yewjunction.vault.Letters;
 import yewjunction.vault.Letters.Admit;
 import yewjunction.vault.Letters.Verdict;
 import yewjunction.vault.Message;
 
 import static yewjunction.base.Limits.ANSWER_SHARE;
+import static yewjunction.base.Limits.DARK_MS;
+import static yewjunction.base.Limits.HOLD_SHARE;
+import static yewjunction.base.Limits.INTAKE_WINDOW;
+import static yewjunction.base.Limits.OFFER_FIRST_MS;
+import static yewjunction.base.Limits.OFFER_MOST_MS;
 
-/** Messages on their way from this edge's clients to the leading vault. */
-final class Shipping {
+/**
+ * Messages on their way from this edge's clients to the leading vault. There is one history, and only the leader adds to
+ * it: while none is in reach messages wait in the intake, and are folded in when one is.
+ */
+public final class Shipping {
     private final Pulse pulse;
     private final Post post;
+    private final Intake intake = new Intake();
     private final Map<Long, Parcel> parcels = new LinkedHashMap<>();
     private Link leaderLink;
     private String leader = "";
     private long errands;
-    private boolean again;
-
-    private static final class Parcel {
-        Berth berth;
-        Message message;
-        long startMs;
-        long timeoutMs;
-        /** Left this edge at least once: then only the leader may promise that it was not accepted. */
-        boolean sent;
-    }
+    private int offered;
+    /** No offers before this: whoever said that it does not lead is not asked at once again. */
+    private long pauseUntilMs;
+    private long pauseMs = OFFER_FIRST_MS;
+    /** Since when messages wait without any answer of a leader; 0 while none do. */
+    private long unansweredMs;
+    private boolean dark;
 
     Shipping(final Pulse pulse, final Post post) {
         this.pulse = pulse;
         this.post = post;
-        post.on(Verdict.class, (link, verdict) -> verdict(verdict));
+        post.on(Verdict.class, this::verdict);
         post.onClose(link -> {
             if (link == leaderLink) {
                 leaderLink = null;
-                again = true;
+                takeBack();
+                pause();
             }
         });
     }
 
     void ship(final Berth berth, final String topic, final long number, final String tenant, final long timeoutMs,
             final byte[] body) {
-        final Parcel parcel = new Parcel();
-        parcel.berth = berth;
-        parcel.message = new Message();
-        parcel.message.topic = topic;
-        parcel.message.client = berth.client;
-        parcel.message.number = number;
-        parcel.message.body = body;
-        parcel.message.tenant(tenant);
-        parcel.startMs = pulse.nowMs();
-        parcel.timeoutMs = timeoutMs;
+        final Message message = new Message();
+        message.topic = topic;
+        message.client = berth.client;
+        message.number = number;
+        message.body = body;
+        message.tenant(tenant);
+        final Parcel parcel = new Parcel(++errands, berth, message, tenant, pulse.nowMs(), timeoutMs);
+        // It never left: the promise costs nothing, and the client may try where there is more hope.
+        if (dark || !intake.add(parcel)) {
+            refuse(parcel, "RETRY");
+            return;
+        }
+        if (unansweredMs == 0) {
+            unansweredMs = parcel.startMs;
+        }
         berth.underWay++;
-        final long errand = ++errands;
-        parcels.put(errand, parcel);
-        send(errand, parcel);
+        parcels.put(parcel.errand, parcel);
+        offer();
     }
 
-    private void send(final long errand, final Parcel parcel) {
-        if (leader.isEmpty()) {
+    /** Tenants in turn, a message each, up to the window; within a tenant in the order of arrival. */
+    private void offer() {
+        final long nowMs = pulse.nowMs();
+        if (leader.isEmpty() || nowMs < pauseUntilMs) {
             return;
         }
-        if (leaderLink == null || !leaderLink.open()) {
-            leaderLink = post.dial(leader);
+        while (offered < INTAKE_WINDOW && !intake.isEmpty()) {
+            if (leaderLink == null || !leaderLink.open()) {
+                leaderLink = post.dial(leader);
+            }
+            final Parcel parcel = intake.next();
+            final Admit admit = new Admit();
+            admit.errand = parcel.errand;
+            admit.message = parcel.message;
+            parcel.offered = true;
+            parcel.sent = true;
+            offered++;
+            if (!leaderLink.send(admit)) {
+                takeBack();
+                pause();
+                return;
+            }
         }
-        final Admit admit = new Admit();
-        admit.errand = errand;
-        admit.message = parcel.message;
-        parcel.sent |= leaderLink.send(admit);
+    }
+
+    /** What was offered and not answered goes back to its place: the same numbers again, which a leader knows how to take. */
+    private void takeBack() {
+        offered = 0;
+        intake.clear();
+        parcels.values().forEach(parcel -> {
+            parcel.offered = false;
+            intake.put(parcel);
+        });
+    }
+
+    /** A growing pause with some luck in it, so that edges do not come back all together to a vault in trouble. */
+    private void pause() {
+        pauseUntilMs = pulse.nowMs() + pauseMs + pulse.luck().nextInt((int) pauseMs);
+        pauseMs = Math.min(OFFER_MOST_MS, 2 * pauseMs);
+        pulse.after(pauseUntilMs - pulse.nowMs(), this::offer);
     }
 
     void leaderIs(final String address) {
         leader = address;
         leaderLink = null;
-        sendAgain();
+        pauseUntilMs = 0;
+        pauseMs = OFFER_FIRST_MS;
+        takeBack();
+        inTouch();
+        offer();
     }
 
-    /** All in the order they came: the same numbers again, which the leader knows how to take. */
-    private void sendAgain() {
-        again = false;
-        parcels.forEach(this::send);
+    /** The home hears a leader: worth a try, also where none answered here. */
+    void leaderHeard() {
+        if (dark) {
+            inTouch();
+            offer();
+        }
     }
 
-    private void verdict(final Verdict verdict) {
-        final Parcel parcel = parcels.get(verdict.errand);
-        if (parcel == null) {
-            return;
+    private void inTouch() {
+        unansweredMs = 0;
+        if (dark) {
+            dark = false;
+            Event.SITE_BACK.info("folding in " + intake.size() + " messages");
         }
+    }
+
+    private void verdict(final Link link, final Verdict verdict) {
         if (verdict.what == Letters.ELSEWHERE) {
-            // Not leading, or not yet: asked again at the next look.
-            again = true;
+            // Not leading, or not yet. Each of them is told so; the first word says it all.
+            if (link == leaderLink && offered > 0) {
+                takeBack();
+                pause();
+            }
             return;
         }
-        parcels.remove(verdict.errand);
-        parcel.berth.underWay--;
+        final Parcel parcel = parcels.remove(verdict.errand);
+        if (parcel == null) {
+            return;
+        }
+        settled(parcel);
+        pauseMs = OFFER_FIRST_MS;
+        inTouch();
         if (verdict.what == Letters.ACCEPTED) {
             parcel.berth.ack(parcel.message.topic, parcel.message.number);
         } else {
             refuse(parcel, "RETRY");
         }
+        offer();
+    }
+
+    private void settled(final Parcel parcel) {
+        parcel.berth.underWay--;
+        if (parcel.offered) {
+            offered--;
+        } else {
+            intake.remove(parcel);
+        }
     }
 
     private static void refuse(final Parcel parcel, final String reason) {
@@ -111,22 +181,39 @@
     }
 
     void look(final long nowMs) {
-        for (final Iterator<Parcel> each = parcels.values().iterator(); each.hasNext();) {
-            final Parcel parcel = each.next();
-            if (nowMs - parcel.startMs > parcel.timeoutMs * ANSWER_SHARE) {
-                each.remove();
-                parcel.berth.underWay--;
-                // What never left is promised away; of the rest nothing is known here.
+        for (final Parcel parcel : new ArrayList<>(parcels.values())) {
+            final long heldMs = nowMs - parcel.startMs;
+            // What never left is promised away early; of the rest nothing is known here.
+            if (heldMs > parcel.timeoutMs * (parcel.sent ? ANSWER_SHARE : HOLD_SHARE)) {
+                parcels.remove(parcel.errand);
+                settled(parcel);
                 refuse(parcel, parcel.sent ? "UNKNOWN" : "RETRY");
             }
         }
-        if (again) {
-            sendAgain();
+        if (!dark && unansweredMs > 0 && nowMs - unansweredMs > DARK_MS) {
+            dark = true;
+            Event.SITE_DARK.warn("no leader answers, " + parcels.size() + " messages wait");
         }
+        offer();
+    }
+
+    /** Messages that wait for a leader's answer. */
+    public int depth() {
+        return parcels.size();
+    }
+
+    /** No leader answers: new messages are denied at once. */
+    public boolean dark() {
+        return dark;
     }
 
     /** A link is gone: its messages are not sent again from here, since the client will do so elsewhere. */
     void gone(final Berth berth) {
-        parcels.values().removeIf(parcel -> parcel.berth == berth);
+        for (final Parcel parcel : new ArrayList<>(parcels.values())) {
+            if (parcel.berth == berth) {
+                parcels.remove(parcel.errand);
+                settled(parcel);
+            }
+        }
     }
 }
--- a/src/main/java/yewjunction/herald/Envoy.java
+++ b/src/main/java/yewjunction/herald/Envoy.java
@@ -46,6 +46,9 @@
 
         void leaderIs(String address);
 
+        /** The home hears a leader right now. */
+        void leaderHeard();
+
         /** A home took this edge: what is still open is asked again. */
         void attached();
 
@@ -217,6 +220,9 @@
         flow.messages.forEach(watcher::message);
         last = flow.upTo;
         hint(flow.leader);
+        if (!flow.leader.isEmpty()) {
+            watcher.leaderHeard();
+        }
     }
 
     private void takenUp(final Link link, final Taken taken) {
