--- a/src/main/java/yewjunction/base/Limits.java
+++ b/src/main/java/yewjunction/base/Limits.java
@@ -40,16 +40,16 @@
     public static final double ANSWER_SHARE = 0.5;
     /** the same for a message that never left the edge: the client may have more luck elsewhere. */
     public static final double HOLD_SHARE = 0.4;
+    /** ms; a number that comes so soon after a greeting may have been sent on an earlier link. */
+    public static final long FRESH_MS = 2_000;
     /** ms; without an answer of any leader for so long an edge takes no new messages: above an election. */
     public static final long DARK_MS = 1_500;
     /** messages and bytes; an edge's intake at most. */
-    public static final int INTAKE_MOST = 4_000;
-    public static final long INTAKE_BYTES = 8 << 20;
+    public static final int INTAKE_MOST = 4_000, INTAKE_BYTES = 8 << 20;
     /** messages; offered to the leader at a time by one edge: several round trips' worth at full load. */
     public static final int INTAKE_WINDOW = 128;
     /** ms; first and longest pause before a leader that was lost, or that does not lead, is offered messages again. */
-    public static final long OFFER_FIRST_MS = 25;
-    public static final long OFFER_MOST_MS = 400;
+    public static final long OFFER_FIRST_MS = 25, OFFER_MOST_MS = 400;
     /** ms; a SUB gets its final answer by then, before any client resets its link. */
     public static final long JOIN_ANSWER_MS = 1_000;
     /** ms; a HELLO waits this long for an edge that is still starting or whose lease is being renewed. */
--- a/src/main/java/yewjunction/dock/Berth.java
+++ b/src/main/java/yewjunction/dock/Berth.java
@@ -8,6 +8,7 @@
 import yewjunction.vault.Message;
 
 import static yewjunction.base.Limits.CLIENT_QUEUE_BYTES;
+import static yewjunction.base.Limits.FRESH_MS;
 
 /** One client's link: what it has said, what it subscribes, and how answers are written to it. */
 final class Berth implements Line.Owner {
@@ -19,6 +20,8 @@
     String client = "";
     String secret = "";
     long heardMs;
+    long greetedMs;
+    private long highestNumber = -1;
     int underWay;
     boolean moved;
 
@@ -28,6 +31,16 @@
         heardMs = nowMs;
     }
 
+    /**
+     * What may be said of a number that is not sent on. RETRY promises that it never was nor will be: true only of a
+     * number's first try. A client brings what it sent on other links right after its greeting, and numbers only rise.
+     */
+    boolean firstTry(final long number) {
+        final boolean first = number > highestNumber && dock.nowMs() - greetedMs > FRESH_MS;
+        highestNumber = Math.max(highestNumber, number);
+        return first;
+    }
+
     boolean greeted() {
         return !client.isEmpty();
     }
--- a/src/main/java/yewjunction/dock/Boarding.java
+++ b/src/main/java/yewjunction/dock/Boarding.java
@@ -112,12 +112,12 @@
         }
         final long nowMs = pulse.nowMs();
         sub.open(sub.position >= 0 ? sub.position : position, nowMs);
-        if (!more && sub.replayTo == 0 && Replays.isShort(behind)) {
+        if (!more && Replays.isShort(behind)) {
             behind.forEach(message -> sub.deliver(message, nowMs));
             sub.after = Math.max(sub.after, position);
         } else {
             sub.replay.addAll(behind);
-            sub.replayTo = Math.max(sub.replayTo, more ? position : 0);
+            sub.replayTo = more ? position : 0;
             replays.add(sub);
         }
     }
@@ -133,20 +133,6 @@
         }
     }
 
-    /** Messages up to there did not come with the stream: each subscription takes them up by its own position. */
-    void retake(final long upTo) {
-        for (final List<Sub> subs : new ArrayList<>(byTopic.values())) {
-            for (final Sub sub : subs) {
-                sub.replayTo = upTo;
-                if (sub.open) {
-                    // What waited is asked for again with the rest, in its order.
-                    sub.live.clear();
-                    replays.add(sub);
-                }
-            }
-        }
-    }
-
     private void giveUp(final Sub sub, final String reason) {
         forget(sub);
         weave.remove(sub.topic, sub.berth.client);
--- a/src/main/java/yewjunction/dock/Dock.java
+++ b/src/main/java/yewjunction/dock/Dock.java
@@ -16,6 +16,7 @@
 import yewjunction.weave.Weave;
 
 import static yewjunction.base.Limits.DOCK_SWEEP_MS;
+import static yewjunction.base.Limits.HOMELESS_MS;
 import static yewjunction.base.Limits.LAPSED_LINKS_MS;
 import static yewjunction.base.Limits.RENEW_MS;
 import static yewjunction.base.Limits.SILENT_PINGS;
@@ -156,15 +157,15 @@
         }
     }
 
-    /** Clients do better elsewhere, or by their own cursors. */
     private void letGo() {
         stalled.clear();
         berths().forEach(berth -> berth.line.close());
     }
 
+    /** Each subscription is taken up by its own cursor, here or elsewhere, or is told that it can't be. */
     @Override
-    public void gapped(final long upTo) {
-        boarding.retake(upTo);
+    public void gapped() {
+        letGo();
     }
 
     /** How often a filtered subscription's cursor is renewed: well before it could expire. */
@@ -218,6 +219,10 @@
             // A client that only listens would never notice that nothing can come here.
             letGo();
         }
+        if (envoy.homelessMs() > HOMELESS_MS) {
+            // The same without a home; whoever has only just come may still see one found.
+            berths().stream().filter(berth -> nowMs - berth.greetedMs > HOMELESS_MS).forEach(berth -> berth.line.close());
+        }
         errands.look(nowMs);
         shipping.look(nowMs);
         boarding.look(nowMs);
--- a/src/main/java/yewjunction/dock/Errands.java
+++ b/src/main/java/yewjunction/dock/Errands.java
@@ -87,6 +87,7 @@
             berth.refuse("HELLO", "", "", "DENIED");
             return;
         }
+        berth.greetedMs = dock.nowMs();
         berth.client = client;
         berth.secret = secret;
         dock.greeted(berth);
@@ -178,12 +179,13 @@
     private void publish(final Berth berth, final Words words) {
         final String topic = words.text(1);
         final long number = words.number(2);
+        final boolean firstTry = berth.firstTry(number);
         final String denial = topic.isEmpty() || !berth.greeted() ? "BADMSG" : denial(berth, topic);
         if (denial != null) {
-            berth.refuse("PUB", topic, words.text(2), denial);
+            berth.refuse("PUB", topic, words.text(2), denial.equals("RETRY") && !firstTry ? "UNKNOWN" : denial);
         } else {
             final Charter.Tenant tenant = tenure.charter().tenantOfKey(berth.secret);
-            dock.shipping().ship(berth, topic, number, tenant == null ? "" : tenant.name(),
+            dock.shipping().ship(berth, topic, number, firstTry, tenant == null ? "" : tenant.name(),
                 tenure.charter().space(topic).timeoutMs(), words.bodyBytes());
         }
     }
--- a/src/main/java/yewjunction/dock/Intake.java
+++ b/src/main/java/yewjunction/dock/Intake.java
@@ -24,7 +24,7 @@
         final long timeoutMs;
         /** On its way to a leader right now. */
         boolean offered;
-        /** Left this edge at least once: then only the leader may promise that it was not accepted. */
+        /** Left this edge, or may have left another, at least once: then only the leader may promise that it was not accepted. */
         boolean sent;
 
         Parcel(final long errand, final Berth berth, final Message message, final String tenant, final long startMs,
--- a/src/main/java/yewjunction/dock/Shipping.java
+++ b/src/main/java/yewjunction/dock/Shipping.java
@@ -53,8 +53,8 @@
         });
     }
 
-    void ship(final Berth berth, final String topic, final long number, final String tenant, final long timeoutMs,
-            final byte[] body) {
+    void ship(final Berth berth, final String topic, final long number, final boolean firstTry, final String tenant,
+            final long timeoutMs, final byte[] body) {
         final Message message = new Message();
         message.topic = topic;
         message.client = berth.client;
@@ -62,9 +62,10 @@
         message.body = body;
         message.tenant(tenant);
         final Parcel parcel = new Parcel(++errands, berth, message, tenant, pulse.nowMs(), timeoutMs);
-        // It never left: the promise costs nothing, and the client may try where there is more hope.
+        parcel.sent = !firstTry;
+        // No prospect: said at once, and the client may try where there is more.
         if (dark || !intake.add(parcel)) {
-            refuse(parcel, "RETRY");
+            refuse(parcel, parcel.sent ? "UNKNOWN" : "RETRY");
             return;
         }
         if (unansweredMs == 0) {
--- a/src/main/java/yewjunction/herald/Envoy.java
+++ b/src/main/java/yewjunction/herald/Envoy.java
@@ -52,8 +52,8 @@
         /** A home took this edge: what is still open is asked again. */
         void attached();
 
-        /** Messages up to there will not come with the stream: subscriptions take them up by their own positions. */
-        void gapped(long upTo);
+        /** Messages this edge should have had are gone: its clients must take up their cursors anew. */
+        void gapped();
     }
 
     /** Vaults: addresses, the own zone's first. Changed: something of the set may have been merged. */
@@ -193,7 +193,7 @@
         hint(welcome.leader);
         if (gap) {
             Event.STREAM_GAP.warn("up to " + last);
-            watcher.gapped(last);
+            watcher.gapped();
         }
         watcher.attached();
     }
--- a/src/main/java/yewjunction/node/VaultNode.java
+++ b/src/main/java/yewjunction/node/VaultNode.java
@@ -69,6 +69,11 @@
         pulse.every(ENROL_MS, this::settleDuties);
     }
 
+    /** What this vault keeps. */
+    public Cellar cellar() {
+        return cellar;
+    }
+
     /** Joins where a place is free, and empties what the core wants emptied. */
     private void settleDuties() {
         tenure.applied(ledger.applied());
--- a/src/test/java/yewjunction/system/Judge.java
+++ b/src/test/java/yewjunction/system/Judge.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.LongSupplier;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -18,6 +19,12 @@
     private final Map<String, Sent> sent = new HashMap<>();
     private final Map<String, Reading> readings = new HashMap<>();
     private final Map<String, String> atPosition = new HashMap<>();
+    /** One delivery: to whom, sent when, come when. */
+    record Arrival(String client, long sentMs, long atMs) {
+    }
+
+    final List<Arrival> arrivals = new ArrayList<>();
+    LongSupplier clock = () -> 0;
     private final Map<String, Long> positions = new HashMap<>();
     int owed;
     final List<String> expired = new ArrayList<>();
@@ -109,6 +116,7 @@
         deliveries++;
         final Sent one = sent.get(body);
         assertNotNull(one, "a message that nobody sent: " + body);
+        arrivals.add(new Arrival(client, one.firstMs, clock.getAsLong()));
         newestDelivered.merge(client, one.firstMs, Math::max);
         assertEquals(one.client + " " + one.topic + " " + one.number, sender + " " + topic + " " + number);
         assertFalse(one.denied, "delivered though denied: " + body);
--- a/src/test/java/yewjunction/system/Town.java
+++ b/src/test/java/yewjunction/system/Town.java
@@ -125,6 +125,16 @@
         return ready;
     }
 
+    /** A zone's machines, all or some, lose touch with all others. */
+    void darken(final String zone, final boolean withVault) {
+        for (final String inside : nodes.keySet()) {
+            if (zone(inside).equals(zone) && (withVault || !duty(inside).equals("vault"))) {
+                nodes.keySet().stream().filter(other -> !zone(other).equals(zone) || !withVault && duty(other).equals("vault"))
+                    .forEach(other -> world.cut(inside, other));
+            }
+        }
+    }
+
     // --- the operator ---
 
     void call(final String crux, final String method, final String path, final long base, final String body,
