--- a/src/main/java/yewjunction/base/Limits.java
+++ b/src/main/java/yewjunction/base/Limits.java
@@ -58,7 +58,6 @@
     public static final long LAPSED_LINKS_MS = 3_000;
     /** ms; subscriptions of a client that stays away this long are removed, well after the longest keeping time. */
     public static final long AWAY_MS = 120_000;
-
     /** ms; pace of asking whether this edge is ready, well below the platform's own pace of a second. */
     public static final long READY_LOOK_MS = 100;
     // --- filters and catching up ---
@@ -114,14 +113,11 @@
     /** ms; beat of a leader. */
     public static final long BEAT_MS = 100;
     /** ms; least and most wait before a follower stands for election. */
-    public static final long ELECT_LEAST_MS = 450;
-    public static final long ELECT_MOST_MS = 850;
+    public static final long ELECT_LEAST_MS = 450, ELECT_MOST_MS = 850;
     /** ms; the same for a process that has just started: it owes no patience to a leader it never heard, and asks first. */
-    public static final long ELECT_FIRST_LEAST_MS = 120;
-    public static final long ELECT_FIRST_MOST_MS = 320;
+    public static final long ELECT_FIRST_LEAST_MS = 120, ELECT_FIRST_MOST_MS = 320;
     /** ms; a follower whose link from the leader broke waits this long for another: above a beat and a dial. */
-    public static final long ELECT_BROKEN_LEAST_MS = 130;
-    public static final long ELECT_BROKEN_MOST_MS = 260;
+    public static final long ELECT_BROKEN_LEAST_MS = 130, ELECT_BROKEN_MOST_MS = 260;
     /** share of beats that every sibling answers late, above which a leader hands over: its own links must be the cause. */
     public static final double LATE_SHARE = 0.2;
     /** weight of the newest beat in that share: it looks back about two seconds. */
@@ -136,22 +132,18 @@
     public static final long APPEND_AGAIN_MS = 400;
     /** bytes; a ledger file longer than this is rewritten. */
     public static final long LEDGER_BYTES = 12L << 20;
-    /** entries; kept behind a snapshot for siblings that were away a short while. */
-    public static final int LEDGER_TAIL_ENTRIES = 2_000;
-    /** bytes; the same in size, a small part of a file's length. */
-    public static final long LEDGER_TAIL_BYTES = 2L << 20;
+    /** entries and bytes; kept behind a snapshot for siblings that were away a short while. */
+    public static final int LEDGER_TAIL_ENTRIES = 2_000, LEDGER_TAIL_BYTES = 2 << 20;
     /** ms; a leader that stops hands over within this. */
     public static final long HAND_OVER_MS = 700;
     /** entries; a newcomer this close to the end may become a voter. */
     public static final int CAUGHT_UP_ENTRIES = 50;
-
     /** ms; a voter silent for so long loses its seat to a spare: above an election, below what a replaced machine is given. */
     public static final long VOTER_SILENT_MS = 1_500;
     /** ms; the same for one that answers but whose disk takes nothing. */
     public static final long VOTER_LAGS_MS = 2_500;
     /** ms; a member that has heard no leader for so long asks around: it may have lost its seat meanwhile. */
     public static final long ASK_AROUND_MS = 2_000;
-
     /** ms; pace of trying a write again for which the disk had no room. */
     public static final long DISK_AGAIN_MS = 100;
     /** ms; a leader whose own disk has held a write for so long hands over: the others' disks do without it. */
@@ -239,6 +231,14 @@
     public static final long DOCTOR_BEHIND = 2_000;
     /** share of a disk above which a ledger file leaves too little room for its own rewriting. */
     public static final double DOCTOR_FULL_SHARE = 0.4;
+    /** ms; a process that has not asked a crux for its lease for so long is no ward of it. */
+    public static final long WARD_MS = 20_000;
+    /** messages; an edge's intake that is filling up. */
+    public static final long DOCTOR_WAITING = 500;
+    /** ms; a disk that owes a write for so long is slow, stalled or full. */
+    public static final long DOCTOR_OWED_MS = 1_000;
+    /** per cent of a process's memory in use: seen twice, it is not just due for collection. */
+    public static final int DOCTOR_MEMORY_PCT = 92;
     // --- maintenance windows ---
     /** bytes; a calendar file at most: far above years of planned work. */
     public static final long WINDOW_FILE_BYTES = 4 << 20;
--- a/src/main/java/yewjunction/charter/Crux.java
+++ b/src/main/java/yewjunction/charter/Crux.java
@@ -37,8 +37,9 @@
         ledger.listen();
         ledger.electorate().seat(new Seating(settings.votersNeeded(), Set::of, roster::zoneAt));
         final Registrar registrar = new Registrar(pulse, post, core, ledger, roster, settings.votersNeeded());
-        lessor = new Lessor(pulse, post, core, ledger, registrar);
-        desk = new Desk(core, ledger, registrar, new Outlook(core, ledger, roster, registrar));
+        final Wards wards = new Wards(pulse);
+        lessor = new Lessor(pulse, post, core, ledger, registrar, wards);
+        desk = new Desk(core, ledger, registrar, new Outlook(core, ledger, roster, registrar, wards));
     }
 
     /** With an empty disk: a founder takes its place among the seeds, any other joins under a new name. */
--- a/src/main/java/yewjunction/charter/Lessor.java
+++ b/src/main/java/yewjunction/charter/Lessor.java
@@ -27,6 +27,7 @@
     private final Core core;
     private final Ledger ledger;
     private final Registrar registrar;
+    private final Wards wards;
     private final Map<Link, Renew> subscribers = new LinkedHashMap<>();
     private List<Asked> waiting = new ArrayList<>();
     private List<Asked> underWay = new ArrayList<>();
@@ -45,12 +46,14 @@
     private record Proven(long commit, List<Asked> asked) {
     }
 
-    Lessor(final Pulse pulse, final Post post, final Core core, final Ledger ledger, final Registrar registrar) {
+    Lessor(final Pulse pulse, final Post post, final Core core, final Ledger ledger, final Registrar registrar,
+            final Wards wards) {
         this.pulse = pulse;
         this.post = post;
         this.core = core;
         this.ledger = ledger;
         this.registrar = registrar;
+        this.wards = wards;
         post.on(Renew.class, this::renew);
         post.on(Confirm.class, this::confirm);
         post.on(Confirmed.class, (link, confirmed) -> confirmed(confirmed));
@@ -63,6 +66,7 @@
     private void renew(final Link link, final Renew renew) {
         subscribers.put(link, renew);
         registrar.heard(renew.who);
+        wards.heard(renew.who);
         if (renew.who.duty.equals("tide") && !named(renew)) {
             unnamed.add(link);
         }
--- a/src/main/java/yewjunction/charter/Letters.java
+++ b/src/main/java/yewjunction/charter/Letters.java
@@ -33,6 +33,15 @@
         String identity = "";
         /** How far a vault has applied its ledger. */
         long applied;
+        /** Its lease counts right now. */
+        boolean held;
+        /** Messages of an edge that wait for a leader's answer, and whether none answers. */
+        long waiting;
+        boolean dark;
+        /** For how long a vault's disk has owed its oldest write. */
+        long diskOwedMs;
+        /** Of the memory it may use. */
+        int memoryPct;
         /** Nodes that hold no duty any more, told by the vault group's leader. */
         List<String> emptied = new ArrayList<>();
     }
--- a/src/main/java/yewjunction/charter/Outlook.java
+++ b/src/main/java/yewjunction/charter/Outlook.java
@@ -16,17 +16,21 @@
     private final Ledger ledger;
     private final Roster roster;
     private final Registrar registrar;
+    private final Wards wards;
 
-    Outlook(final Core core, final Ledger ledger, final Roster roster, final Registrar registrar) {
+    Outlook(final Core core, final Ledger ledger, final Roster roster, final Registrar registrar,
+            final Wards wards) {
         this.core = core;
         this.ledger = ledger;
         this.roster = roster;
         this.registrar = registrar;
+        this.wards = wards;
     }
 
     String json() {
         final Map<String, Object> page = new LinkedHashMap<>();
         page.put("Nodename", roster.self().node);
+        page.put("Addr", roster.self().address);
         page.put("Leads", ledger.leads());
         page.put("Leader", ledger.leader() == null ? "" : Ledger.address(ledger.leader()));
         page.put("Voters", ledger.voters().stream().map(Ledger::address).toList());
@@ -41,6 +45,9 @@
         page.put("Siblings", siblings);
         // Only the leader hears from all vaults; on the others the list is empty.
         page.put("Vaults", registrar.vaultRows());
+        page.put("DiskOwedMs", ledger.course().owedMs());
+        // Those that ask this crux for their leases: mostly its zone's.
+        page.put("Wards", wards.rows());
         return ConfigValueFactory.fromMap(page).render(ConfigRenderOptions.concise());
     }
 }
--- a/src/main/java/yewjunction/charter/Tenure.java
+++ b/src/main/java/yewjunction/charter/Tenure.java
@@ -24,6 +24,7 @@
     private final Who who = new Who();
     private final Supplier<List<String>> homes;
     private final Watcher watcher;
+    private Runnable report = () -> { };
     private Charter charter;
     private Facts facts = new Facts();
     private long leaseEndMs = Long.MIN_VALUE;
@@ -68,6 +69,22 @@
         who.applied = applied;
     }
 
+    /** Looks just before each renewal at how this process does, for whoever asks a crux about it. */
+    public void reporting(final Runnable chosenReport) {
+        report = chosenReport;
+    }
+
+    /** An edge's messages that wait for a leader, and whether none answers. */
+    public void waiting(final long waiting, final boolean dark) {
+        who.waiting = waiting;
+        who.dark = dark;
+    }
+
+    /** For how long a vault's disk has owed its oldest write. */
+    public void diskOwed(final long owedMs) {
+        who.diskOwedMs = owedMs;
+    }
+
     /** Nodes that the vault group's leader has emptied. */
     public void emptied(final List<String> nodes) {
         who.emptied = new ArrayList<>(nodes);
@@ -89,6 +106,10 @@
         }
         if (!known.isEmpty()) {
             askNumber++;
+            report.run();
+            who.held = held();
+            final Runtime runtime = Runtime.getRuntime();
+            who.memoryPct = (int) (100 * (runtime.totalMemory() - runtime.freeMemory()) / runtime.maxMemory());
             final Renew renew = new Renew();
             renew.askedMs = pulse.nowMs();
             renew.version = version();
--- a/src/main/java/yewjunction/doctor/Doctor.java
+++ b/src/main/java/yewjunction/doctor/Doctor.java
@@ -20,7 +20,10 @@
 import static yewjunction.base.Limits.DOCTOR_BEHIND;
 import static yewjunction.base.Limits.DOCTOR_CALL_MS;
 import static yewjunction.base.Limits.DOCTOR_FULL_SHARE;
+import static yewjunction.base.Limits.DOCTOR_MEMORY_PCT;
+import static yewjunction.base.Limits.DOCTOR_OWED_MS;
 import static yewjunction.base.Limits.DOCTOR_SILENT_MS;
+import static yewjunction.base.Limits.DOCTOR_WAITING;
 
 /** Looks once from where it runs: at the operator's addresses, this machine's readiness and its data folder. */
 public final class Doctor {
@@ -53,6 +56,7 @@
         if (!outlooks.isEmpty()) {
             core();
             siblings();
+            wards();
             vaults();
         }
         if (!settings.ready().isEmpty()) {
@@ -99,7 +103,8 @@
             if (outlook.getBoolean("Leads")) {
                 leaders.add(one.getKey());
             }
-            if (!outlook.getBoolean("Votes")) {
+            // More cruxes than seats: the rest stand by.
+            if (!outlook.getBoolean("Votes") && outlook.getStringList("Voters").size() < settings.votersNeeded()) {
                 found(Code.CRUX_OUTSIDE, one.getKey() + " does not vote", "a wiped crux joins within seconds; if not, see its log");
             }
             versions.add(outlook.getLong("Ver"));
@@ -128,6 +133,13 @@
     private void siblings() {
         final TreeMap<String, Config> known = new TreeMap<>();
         outlooks.values().forEach(outlook -> outlook.getConfigList("Siblings").forEach(one -> known.put(one.getString("Addr"), one)));
+        final Set<String> answering = new HashSet<>(known.keySet());
+        outlooks.values().forEach(outlook -> answering.add(outlook.hasPath("Addr") ? outlook.getString("Addr") : ""));
+        for (final String voter : outlooks.firstEntry().getValue().getStringList("Voters")) {
+            if (outlooks.firstEntry().getValue().hasPath("Addr") && !answering.contains(voter)) {
+                found(Code.VOTER_GONE, "nobody knows the voter at " + voter, "start a crux in its place: it takes the seat by itself");
+            }
+        }
         for (final Config sibling : known.values()) {
             final String name = sibling.getString("Nodename") + " (" + sibling.getString("Duty") + ")";
             if (sibling.getBoolean("Suspect") || !sibling.getBoolean("Up")) {
@@ -140,6 +152,35 @@
         }
     }
 
+    /** What processes say of themselves to the crux they ask for leases. */
+    private void wards() {
+        for (final Config outlook : outlooks.values()) {
+            for (final Config ward : outlook.hasPath("Wards") ? outlook.getConfigList("Wards") : List.<Config>of()) {
+                ward(ward, ward.getString("Nodename") + " (" + ward.getString("Duty") + ")");
+            }
+        }
+    }
+
+    private void ward(final Config ward, final String name) {
+        final String node = ward.getString("Nodename");
+        final String zone = ward.getString("Az");
+        if (!ward.getBoolean("Held")) {
+            found(Code.LEASE_LAPSED, name + " asks and holds no lease", "no majority of cruxes confirms: see NO_LEADER, VOTERS_FEW", node, zone);
+        }
+        if (ward.getBoolean("Dark")) {
+            found(Code.EDGE_DARK, name + " reaches no leader of the vaults", "see the links of its zone; it denies new messages meanwhile", node, zone);
+        }
+        if (ward.getLong("Waiting") > DOCTOR_WAITING) {
+            found(Code.INTAKE_FILLS, name + " has " + ward.getLong("Waiting") + " messages waiting", "see the vaults' leader: its machine, disk and links", node, zone);
+        }
+        if (ward.getLong("DiskOwedMs") > DOCTOR_OWED_MS) {
+            found(Code.DISK_SLOW, name + ": its disk owes a write since " + ward.getLong("DiskOwedMs") + " ms", "make room, or replace the disk; see events 410 to 412", node, zone);
+        }
+        if (ward.getInt("MemoryPct") > DOCTOR_MEMORY_PCT) {
+            found(Code.MEMORY_NEAR_FULL, name + " uses " + ward.getInt("MemoryPct") + " % of its memory", "give it more, or spread its clients over more edges", node, zone);
+        }
+    }
+
     private void vaults() {
         final List<? extends Config> rows = outlooks.values().stream().filter(outlook -> outlook.getBoolean("Leads"))
             .findFirst().map(outlook -> outlook.getConfigList("Vaults")).orElse(null);
--- a/src/main/java/yewjunction/ledger/Course.java
+++ b/src/main/java/yewjunction/ledger/Course.java
@@ -12,7 +12,7 @@
 import static yewjunction.base.Limits.LEDGER_TAIL_ENTRIES;
 
 /** How far the log is synced, committed and applied here, and who waits for that. */
-final class Course {
+public final class Course {
     private final Ledger ledger;
     private final Machine machine;
     private final ArrayDeque<Write> writes = new ArrayDeque<>();
@@ -57,7 +57,7 @@
     }
 
     /** For how long the disk has owed its oldest write. */
-    long owedMs() {
+    public long owedMs() {
         return writes.isEmpty() ? 0 : ledger.pulse.nowMs() - writes.peek().atMs;
     }
 
--- a/src/main/java/yewjunction/ledger/Ledger.java
+++ b/src/main/java/yewjunction/ledger/Ledger.java
@@ -14,7 +14,6 @@
 /** One member of a replicated log. All calls on the owner's thread. */
 public final class Ledger {
     enum Role { FOLLOWS, STANDS, LEADS }
-
     final int group;
     final Pulse pulse;
     final Post post;
@@ -48,7 +47,7 @@
             + " last " + log.lastIndex() + " voters " + voters());
     }
 
-    /** Names a member whose disk was empty; nothing is answered under a name before it is on disk. */
+    /** Names a member whose disk was empty. */
     public void name(final String identity) {
         archive.saveIdentity(identity, () -> { });
     }
@@ -74,7 +73,7 @@
         return archive.identity;
     }
 
-    /** A short name for an identity, from what was drawn at the start of the process: it travels in every letter. */
+    /** A short name for an identity, from what was drawn at the start: it travels in every letter. */
     public static String drawnName(final long drawn) {
         final String whole = Long.toString(drawn >>> 1, Character.MAX_RADIX);
         return whole.substring(Math.max(0, whole.length() - 7));
@@ -132,6 +131,11 @@
         }
     }
 
+    /** How far entries are synced, committed and applied here. */
+    public Course course() {
+        return course;
+    }
+
     /** Who votes, decided by the leader. */
     public Electorate electorate() {
         return leading.electorate;
@@ -168,8 +172,6 @@
         return letter;
     }
 
-    // --- roles ---
-
     void restartClock() {
         election.restartClock();
     }
--- a/src/main/java/yewjunction/node/VaultNode.java
+++ b/src/main/java/yewjunction/node/VaultNode.java
@@ -54,6 +54,7 @@
         home = new Home(pulse, post, ledger, cellar, weave);
         tenure = new Tenure(pulse, post, () -> Node.cruxes(roster, settings), this)
             .named(address, settings.node(), settings.zone(), "vault", life);
+        tenure.reporting(() -> tenure.diskOwed(ledger.course().owedMs()));
         new Warp(pulse, post, weave, roster, home, replica -> Node.live(replica, weave, tenure, roster));
     }
 
