--- a/src/main/java/yewjunction/app/Rehearsal.java
+++ b/src/main/java/yewjunction/app/Rehearsal.java
@@ -96,10 +96,37 @@
                 }
             }
             out.println("rehearsal: -> " + in.readLine());
+            in.readLine();
+            return filtered(client, in);
+        }
+    }
+
+    /** One repository of many, then another one: only what the filter in force lets through comes. */
+    private int filtered(final Socket client, final BufferedReader in) throws IOException {
+        // Each step ends with a line that says it is done: what is sent next is judged by what stands then.
+        final String[][] steps = {{"SUB rehearsal.all - repo-1,tool-*", "OK SUB"},
+            {publication(2, "repo-2") + "\r\n" + publication(3, "repo-1"), "repo-1 no. 3"},
+            {"SUB rehearsal.all - repo-2", "OK SUB"},
+            {publication(4, "tool-7") + "\r\n" + publication(5, "repo-2"), "repo-2 no. 5"}};
+        for (final String[] step : steps) {
+            client.getOutputStream().write((step[0] + "\r\n").getBytes(StandardCharsets.US_ASCII));
+            String line;
+            do {
+                line = in.readLine();
+                out.println("rehearsal: " + line);
+                if (line == null || line.startsWith("REFUSE") || line.startsWith("repo-2 no. 2") || line.startsWith("tool-7")) {
+                    return 1;
+                }
+            } while (!line.startsWith(step[1]));
         }
         return Main.EXIT_OK;
     }
 
+    private static String publication(final int number, final String key) {
+        final String body = key + " no. " + number + " has been crawled again";
+        return "PUB rehearsal.all " + number + " " + body.length() + "\r\n" + body;
+    }
+
     private static boolean until(final HttpClient caller, final HttpRequest request) throws InterruptedException {
         for (int waitedMs = 0; waitedMs < PATIENCE_MS; waitedMs += STEP_MS) {
             try {
--- a/src/test/java/yewjunction/app/RehearsalTest.java
+++ b/src/test/java/yewjunction/app/RehearsalTest.java
@@ -18,6 +18,10 @@
         final int code = Rehearsal.run(new PrintStream(out, true));
         assertEquals(Main.EXIT_OK, code, out.toString());
         assertTrue(out.toString().contains("MSG rehearsal.one"), out.toString());
+        // The same on the real wire with a filter, and with another one mid-flow.
+        assertTrue(out.toString().contains("repo-1,tool-*"), out.toString());
+        assertTrue(out.toString().contains("rehearsal: repo-1 no. 3"), out.toString());
+        assertTrue(out.toString().contains("rehearsal: repo-2 no. 5"), out.toString());
     }
 
     @Test
--- a/src/test/java/yewjunction/system/Customer.java
+++ b/src/test/java/yewjunction/system/Customer.java
@@ -18,6 +18,9 @@
     final Map<String, String> filters = new TreeMap<>();
     final Map<Long, Judge.Sent> open = new TreeMap<>();
     String key;
+    /** Bytes that are added to each body. */
+    int padding;
+    private long stalledUntilMs;
     private final Town town;
     private final Judge judge;
     private Wire wire;
@@ -79,7 +82,7 @@
         public Outbox out() {
             if (!flushing) {
                 flushing = true;
-                town.world.after(0, () -> {
+                town.world.after(Math.max(0, stalledUntilMs - town.world.nowMs()), () -> {
                     flushing = false;
                     final String words = new String(out.take(), StandardCharsets.US_ASCII);
                     town.world.after(1, () -> hear(words));
@@ -144,6 +147,11 @@
         }
     }
 
+    /** Reads nothing for a while; what comes piles up at the edge. */
+    void stall(final long forMs) {
+        stalledUntilMs = town.world.nowMs() + forMs;
+    }
+
     void resetBy(final String edge) {
         if (wire != null && wire.edge.equals(edge)) {
             wire = null;
@@ -190,7 +198,7 @@
 
     void publish(final String topic) {
         final long number = ++numbers;
-        final Judge.Sent sent = judge.sent(name, topic, number, town.world.nowMs());
+        final Judge.Sent sent = judge.sent(name, topic, number, town.world.nowMs(), padding);
         open.put(number, sent);
         if (greeted && wire != null) {
             say(sent);
--- a/src/test/java/yewjunction/system/Judge.java
+++ b/src/test/java/yewjunction/system/Judge.java
@@ -75,13 +75,13 @@
         reading(client, topic).filters.put(position, filter);
     }
 
-    Sent sent(final String client, final String topic, final long number, final long nowMs) {
+    Sent sent(final String client, final String topic, final long number, final long nowMs, final int padding) {
         final Sent one = new Sent();
         one.client = client;
         one.topic = topic;
         one.number = number;
         one.firstMs = nowMs;
-        one.body = String.format("key-%d %s/%s/%d/xxxxxxxxxxxxxxxxxxxx", number % 7, client, topic, number);
+        one.body = String.format("key-%d %s/%s/%d/xxxxxxxxxxxxxxxxxxxx", number % 7, client, topic, number) + "x".repeat(padding);
         sent.put(one.body, one);
         return one;
     }
--- /dev/null
+++ b/src/test/java/yewjunction/system/PartnersSimTest.java
@@ -0,0 +1,80 @@
+package yewjunction.system;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** One partner floods and its readers stall and come back in numbers: the others' messages take no longer for it. */
+class PartnersSimTest {
+    /** Times the figure of the same day without the flood. */
+    private static final double FACTOR = 2.0;
+    private Judge judge;
+
+    /** Delays of the calm tenant's messages, sorted. */
+    private List<Long> play(final boolean flood) {
+        final Town town = new Town(77);
+        judge = new Judge();
+        judge.clock = town.world::nowMs;
+        town.world.loss = 0;
+        town.world.runFor(1_500);
+        town.configure(Town.route("s."), Town.tenant("calm", "calm", 1_000) + "," + Town.tenant("loud", "loud", 1_000));
+        assertTrue(town.world.runUntil(() -> town.readyEdges(null).size() == 6, 10_000), "edges not ready");
+        final List<Customer> calm = new ArrayList<>();
+        final List<Customer> loud = new ArrayList<>();
+        for (int i = 0; i < 18; i++) {
+            final boolean isCalm = i < 6;
+            final Customer customer = new Customer(town, judge, (isCalm ? "calm" : "loud") + i, "zone" + (1 + i % 3), isCalm ? "calm" : "loud");
+            if (!isCalm) {
+                customer.padding = 4_000;
+                customer.filters.put("s.loud", "key-*,nobody,nothing*");
+            }
+            customer.subscribe(isCalm ? "s.calm" : "s.loud");
+            (isCalm ? calm : loud).add(customer);
+        }
+        town.world.runFor(2_000);
+        final boolean[] quiet = new boolean[1];
+        town.world.every(40, () -> {
+            if (!quiet[0]) {
+                calm.get(town.world.luck.nextInt(calm.size())).publish("s.calm");
+            }
+        });
+        if (flood) {
+            town.world.every(4, () -> {
+                if (!quiet[0]) {
+                    loud.get(town.world.luck.nextInt(loud.size())).publish("s.loud");
+                }
+            });
+            // Some of its readers read nothing for seconds, and all of them come back at once with old cursors.
+            town.world.every(3_000, () -> {
+                loud.subList(0, 4).forEach(customer -> customer.stall(1_500));
+                loud.subList(4, 12).forEach(Customer::cut);
+            });
+        }
+        town.world.runFor(15_000);
+        quiet[0] = true;
+        town.world.runFor(8_000);
+        judge.settle();
+        assertEquals(List.of(), judge.expired);
+        final List<Long> delays = new ArrayList<>();
+        judge.arrivals.stream().filter(arrival -> arrival.client().startsWith("calm"))
+            .forEach(arrival -> delays.add(arrival.atMs() - arrival.sentMs()));
+        Collections.sort(delays);
+        return delays;
+    }
+
+    @Test
+    void aFloodAndStalledReadersOfOneSlowNobodyElse() {
+        final List<Long> alone = play(false);
+        final List<Long> beside = play(true);
+        assertTrue(beside.size() >= alone.size() * 0.9, beside.size() + " against " + alone.size());
+        for (final double share : new double[] {0.5, 0.99}) {
+            final long before = alone.get((int) (alone.size() * share));
+            final long after = beside.get((int) (beside.size() * share));
+            assertTrue(after <= before * FACTOR, "at " + share + ": " + before + " ms alone, " + after + " ms beside the flood");
+        }
+    }
+}
