--- a/src/main/java/yewjunction/node/EdgeNode.java
+++ b/src/main/java/yewjunction/node/EdgeNode.java
@@ -61,8 +61,9 @@
     private List<String> vaults() {
         final Set<String> addresses = new LinkedHashSet<>();
         final List<Sibling> known = roster.up("vault");
-        known.stream().filter(sibling -> sibling.zone.equals(settings.zone())).forEach(sibling -> addresses.add(sibling.address));
         final Set<String> retiring = tenure.facts().retiringAddresses();
+        known.stream().filter(sibling -> sibling.zone.equals(settings.zone()) && !retiring.contains(sibling.address))
+            .forEach(sibling -> addresses.add(sibling.address));
         final List<String> named = new ArrayList<>(tenure.facts().vaultAddresses(settings.zone(), true));
         known.forEach(sibling -> named.add(sibling.address));
         named.addAll(tenure.facts().vaultAddresses(settings.zone(), false));
--- a/src/main/java/yewjunction/node/VaultNode.java
+++ b/src/main/java/yewjunction/node/VaultNode.java
@@ -129,6 +129,10 @@
     @Override
     public void factsChanged(final Facts facts) {
         weave.replicas(facts.newestReplica(), facts.liveReplicas());
+        if (facts.retiringAddresses().contains(address)) {
+            // It may be taken away the moment it is empty: its edges find another home while it still answers.
+            home.close();
+        }
         if (facts.vaults().contains(ledger.identity())) {
             ledger.found(facts.vaults());
         }
--- a/src/test/java/yewjunction/system/OperatorSimTest.java
+++ b/src/test/java/yewjunction/system/OperatorSimTest.java
@@ -132,10 +132,16 @@
             assertTrue(town.world.nowMs() - startMs < 20_000, "never finished");
         }
         // Removed at once, with its disk; then one more voter is lost: the two left hold everything.
+        final long goneMs = town.world.nowMs();
+        judge.clock = town.world::nowMs;
         town.powerOff("10.1.0.9:7000");
         town.world.host("10.1.0.9:7000").wipe();
         town.nodes.remove("10.1.0.9:7000");
         town.world.runFor(3_000);
+        // Its edges had left it before: nobody waits until its silence is noticed.
+        final long longestMs = judge.arrivals.stream().filter(arrival -> arrival.sentMs() > goneMs && arrival.sentMs() < goneMs + 700)
+            .mapToLong(arrival -> arrival.atMs() - arrival.sentMs()).max().orElseThrow();
+        assertTrue(longestMs < 400, "a message took " + longestMs + " ms");
         town.powerOff("10.2.0.9:7000");
         town.world.host("10.2.0.9:7000").wipe();
         town.world.runFor(4_000);
