--- a/src/main/java/yewjunction/charter/Charter.java
+++ b/src/main/java/yewjunction/charter/Charter.java
@@ -174,11 +174,6 @@
         return subs;
     }
 
-    /** The longest TimeoutMs of all spaces. */
-    public long longestTimeoutMs() {
-        return spaces.stream().mapToLong(Space::timeoutMs).max().orElse(1_000);
-    }
-
     public String json() {
         return render(whole);
     }
--- a/src/test/java/yewjunction/system/DarkSiteSimTest.java
+++ b/src/test/java/yewjunction/system/DarkSiteSimTest.java
@@ -13,24 +13,16 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** A site loses its link under load and comes back: one history, each message once and in order, no partner first. */
-class DarkSiteSimTest {
+class DarkSiteSimTest extends Day {
     private static final int TENANTS = 4;
-    private Town town;
-    private Judge judge;
-    private boolean quiet;
     private int heavyShare;
 
     private void begin(final long seed) {
-        town = new Town(seed);
-        judge = new Judge();
-        judge.clock = town.world::nowMs;
-        town.world.runFor(1_500);
         final StringBuilder tenants = new StringBuilder();
         for (int tenant = 0; tenant < TENANTS; tenant++) {
             tenants.append(tenant == 0 ? "" : ",").append(Town.tenant("t" + tenant, "key" + tenant, 1_000));
         }
-        town.configure(Town.route("s."), tenants.toString());
-        assertTrue(town.world.runUntil(() -> town.readyEdges(null).size() == 6, 10_000), "edges not ready");
+        open(seed, tenants.toString());
         for (int i = 0; i < 6 * TENANTS; i++) {
             final Customer customer = new Customer(town, judge, "c" + i, "zone" + (1 + i % 3), "key" + tenant("c" + i));
             customer.subscribe("s.t" + tenant(customer.name));
@@ -52,14 +44,9 @@
         return Integer.parseInt(client.substring(1)) % TENANTS;
     }
 
-    private void settle() {
-        town.world.join();
-        town.world.loss = 0;
-        town.bootAll();
-        town.world.runFor(6_000);
-        quiet = true;
-        town.world.runFor(6_000);
-        judge.settle();
+    @Override
+    void settle() {
+        super.settle();
         sameHistories();
     }
 
--- a/src/test/java/yewjunction/system/FilterSimTest.java
+++ b/src/test/java/yewjunction/system/FilterSimTest.java
@@ -9,18 +9,11 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Filters under load while edges fail, drain and are cut off, and while filters change mid-flow. */
-class FilterSimTest {
+class FilterSimTest extends Day {
     private static final List<String> FILTERS = List.of("key-1", "key-1,key-3,key-5", "key-*", "key-2", "nobody-sends-this", "*");
-    private Town town;
-    private Judge judge;
-    private boolean quiet;
 
     private void begin(final long seed) {
-        town = new Town(seed);
-        judge = new Judge();
-        town.world.runFor(1_500);
-        town.configure(Town.route("s."), Town.tenant("t", "key", 1_000) + "," + Town.tenant("u", "other", 1_000));
-        assertTrue(town.world.runUntil(() -> town.readyEdges(null).size() == 6, 10_000), "edges not ready");
+        open(seed, Town.tenant("t", "key", 1_000) + "," + Town.tenant("u", "other", 1_000));
         for (int i = 0; i < 12; i++) {
             final Customer customer = new Customer(town, judge, "c" + i, "zone" + (1 + i % 3), i % 2 == 0 ? "key" : "other");
             // The first three read everything and tell the judge where each message stands.
@@ -31,13 +24,7 @@
                 customer.subscribe("s.t" + topic);
             }
         }
-        town.world.runFor(2_000);
-        town.world.every(25, () -> {
-            final Customer customer = town.customers.get(town.world.luck.nextInt(town.customers.size()));
-            if (customer.open.size() < 4 && !quiet) {
-                customer.publish("s.t" + town.world.luck.nextInt(3));
-            }
-        });
+        publishEvery(25, 3);
     }
 
     private void change() {
@@ -45,14 +32,9 @@
         customer.filter("s.t" + town.world.luck.nextInt(3), FILTERS.get(town.world.luck.nextInt(FILTERS.size())));
     }
 
-    private void settle() {
-        town.world.join();
-        town.world.loss = 0;
-        town.bootAll();
-        town.world.runFor(6_000);
-        quiet = true;
-        town.world.runFor(6_000);
-        judge.settle();
+    @Override
+    void settle() {
+        super.settle();
         assertEquals(List.of(), judge.expired);
     }
 
--- a/src/test/java/yewjunction/system/PartnersSimTest.java
+++ b/src/test/java/yewjunction/system/PartnersSimTest.java
@@ -9,20 +9,15 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** One partner floods and its readers stall and come back in numbers: the others' messages take no longer for it. */
-class PartnersSimTest {
+class PartnersSimTest extends Day {
     /** Times the figure of the same day without the flood. */
     private static final double FACTOR = 2.0;
-    private Judge judge;
 
     /** Delays of the calm tenant's messages, sorted. */
     private List<Long> play(final boolean flood) {
-        final Town town = new Town(77);
-        judge = new Judge();
-        judge.clock = town.world::nowMs;
+        quiet = false;
+        open(77, Town.tenant("calm", "calm", 1_000) + "," + Town.tenant("loud", "loud", 1_000));
         town.world.loss = 0;
-        town.world.runFor(1_500);
-        town.configure(Town.route("s."), Town.tenant("calm", "calm", 1_000) + "," + Town.tenant("loud", "loud", 1_000));
-        assertTrue(town.world.runUntil(() -> town.readyEdges(null).size() == 6, 10_000), "edges not ready");
         final List<Customer> calm = new ArrayList<>();
         final List<Customer> loud = new ArrayList<>();
         for (int i = 0; i < 18; i++) {
@@ -36,15 +31,14 @@
             (isCalm ? calm : loud).add(customer);
         }
         town.world.runFor(2_000);
-        final boolean[] quiet = new boolean[1];
         town.world.every(40, () -> {
-            if (!quiet[0]) {
+            if (!quiet) {
                 calm.get(town.world.luck.nextInt(calm.size())).publish("s.calm");
             }
         });
         if (flood) {
             town.world.every(4, () -> {
-                if (!quiet[0]) {
+                if (!quiet) {
                     loud.get(town.world.luck.nextInt(loud.size())).publish("s.loud");
                 }
             });
@@ -55,7 +49,7 @@
             });
         }
         town.world.runFor(15_000);
-        quiet[0] = true;
+        quiet = true;
         town.world.runFor(8_000);
         judge.settle();
         assertEquals(List.of(), judge.expired);
--- a/src/test/java/yewjunction/system/SystemSimTest.java
+++ b/src/test/java/yewjunction/system/SystemSimTest.java
@@ -9,41 +9,21 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** The whole system under the rules, on simulated machines. */
-class SystemSimTest {
-    private Town town;
-    private Judge judge;
-
+class SystemSimTest extends Day {
     private void begin(final long seed, final int perSecond) {
-        town = new Town(seed);
-        judge = new Judge();
-        town.world.runFor(1_500);
-        town.configure(Town.route("s."), Town.tenant("t", "key", perSecond) + "," + Town.tenant("u", "other", perSecond));
-        assertTrue(town.world.runUntil(() -> town.readyEdges(null).size() == 6, 10_000), "edges not ready");
+        open(seed, Town.tenant("t", "key", perSecond) + "," + Town.tenant("u", "other", perSecond));
         for (int i = 0; i < 12; i++) {
             final Customer customer = new Customer(town, judge, "c" + i, "zone" + (1 + i % 3), i % 2 == 0 ? "key" : "other");
             for (int topic = 0; topic < 3; topic++) {
                 customer.subscribe("s.t" + (i + topic) % 6);
             }
         }
-        town.world.runFor(2_000);
-        town.world.every(40, () -> {
-            final Customer customer = town.customers.get(town.world.luck.nextInt(town.customers.size()));
-            if (customer.open.size() < 4 && !quiet) {
-                customer.publish("s.t" + town.world.luck.nextInt(6));
-            }
-        });
+        publishEvery(40, 6);
     }
 
-    private boolean quiet;
-
-    private void settle() {
-        town.world.join();
-        town.world.loss = 0;
-        town.bootAll();
-        town.world.runFor(6_000);
-        quiet = true;
-        town.world.runFor(6_000);
-        judge.settle();
+    @Override
+    void settle() {
+        super.settle();
         assertEquals(List.of(), judge.expired);
     }
 
