--- a/src/test/java/yewjunction/system/Customer.java
+++ b/src/test/java/yewjunction/system/Customer.java
@@ -1,14 +1,10 @@
 package yewjunction.system;
 
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import yewjunction.loom.Line;
-import yewjunction.loom.Outbox;
-import yewjunction.sim.Host;
 
 /** A client that keeps to the protocol: resumes with its cursors, repeats its numbers, follows MOVE. */
 final class Customer {
@@ -38,100 +34,28 @@
         town.world.every(200, this::look);
     }
 
-    /** The edge's side of the connection; latency both ways. */
-    private final class Wire implements Line {
-        final String edge;
-        final Host host;
-        final int life;
-        private final Outbox out = new Outbox(256);
-        private Line.Owner owner;
-        private boolean up = true;
-        private boolean flushing;
-        private byte[] unread = new byte[0];
-        private final Frames frames = new Frames();
-        private boolean dead;
-
-        Wire(final String edge) {
-            this.edge = edge;
-            host = town.world.host(edge);
-            life = host.life();
-        }
-
-        private boolean served() {
-            return host.up() && host.life() == life;
-        }
-
-        void say(final String words) {
-            town.world.after(1, () -> {
-                if (!served() || !up) {
-                    return;
-                }
-                if (owner == null) {
-                    owner = town.edge(edge).greet(this);
-                }
-                final byte[] more = words.getBytes(StandardCharsets.US_ASCII);
-                final byte[] all = new byte[unread.length + more.length];
-                System.arraycopy(unread, 0, all, 0, unread.length);
-                System.arraycopy(more, 0, all, unread.length, more.length);
-                final int taken = owner.take(all, all.length);
-                unread = java.util.Arrays.copyOfRange(all, taken, all.length);
-            });
+    /** What the edge has written arrives, unless the client has another connection by now. */
+    void hear(final Wire from, final String words) {
+        if (wire != from) {
+            return;
         }
-
-        @Override
-        public Outbox out() {
-            if (!flushing) {
-                flushing = true;
-                town.world.after(Math.max(0, stalledUntilMs - town.world.nowMs()), () -> {
-                    flushing = false;
-                    final String words = new String(out.take(), StandardCharsets.US_ASCII);
-                    town.world.after(1, () -> hear(words));
-                });
-            }
-            return out;
-        }
-
-        private void hear(final String words) {
-            if (wire != this || dead) {
-                return;
-            }
-            heardMs = town.world.nowMs();
-            for (final Frames.Frame frame : frames.feed(words)) {
-                if (wire == this) {
-                    told(frame.fields(), frame.body());
-                }
+        heardMs = town.world.nowMs();
+        for (final Frames.Frame frame : from.frames.feed(words)) {
+            if (wire == from) {
+                told(frame.fields(), frame.body());
             }
         }
+    }
 
-        @Override
-        public int waiting() {
-            return out.size();
-        }
-
-        @Override
-        public void closeSoon() {
-            close();
-        }
-
-        @Override
-        public void close() {
-            if (up) {
-                up = false;
-                if (owner != null && served()) {
-                    owner.closed();
-                }
-                town.world.after(1, () -> {
-                    if (wire == this) {
-                        wire = null;
-                    }
-                });
-            }
+    void closed(final Wire gone) {
+        if (wire == gone) {
+            wire = null;
         }
+    }
 
-        @Override
-        public boolean open() {
-            return up;
-        }
+    /** How long it still reads nothing. */
+    long stalledMs() {
+        return Math.max(0, stalledUntilMs - town.world.nowMs());
     }
 
     String edge() {
@@ -175,7 +99,7 @@
     }
 
     private void connect(final String edge) {
-        wire = new Wire(edge);
+        wire = new Wire(town, this, edge);
         greeted = false;
         heardMs = town.world.nowMs();
         wire.say("HELLO " + name + " " + key + "\r\n");
--- /dev/null
+++ b/src/test/java/yewjunction/system/Wire.java
@@ -0,0 +1,89 @@
+package yewjunction.system;
+
+import java.nio.charset.StandardCharsets;
+import yewjunction.loom.Line;
+import yewjunction.loom.Outbox;
+import yewjunction.sim.Host;
+
+/** The edge's side of the connection; latency both ways. */
+final class Wire implements Line {
+    final String edge;
+    final Frames frames = new Frames();
+    private final Town town;
+    private final Customer customer;
+    private final Host host;
+    private final int life;
+    private final Outbox out = new Outbox(256);
+    private Line.Owner owner;
+    private boolean up = true;
+    private boolean flushing;
+    private byte[] unread = new byte[0];
+
+    Wire(final Town town, final Customer customer, final String edge) {
+        this.town = town;
+        this.customer = customer;
+        this.edge = edge;
+        host = town.world.host(edge);
+        life = host.life();
+    }
+
+    private boolean served() {
+        return host.up() && host.life() == life;
+    }
+
+    void say(final String words) {
+        town.world.after(1, () -> {
+            if (!served() || !up) {
+                return;
+            }
+            if (owner == null) {
+                owner = town.edge(edge).greet(this);
+            }
+            final byte[] more = words.getBytes(StandardCharsets.US_ASCII);
+            final byte[] all = new byte[unread.length + more.length];
+            System.arraycopy(unread, 0, all, 0, unread.length);
+            System.arraycopy(more, 0, all, unread.length, more.length);
+            final int taken = owner.take(all, all.length);
+            unread = java.util.Arrays.copyOfRange(all, taken, all.length);
+        });
+    }
+
+    @Override
+    public Outbox out() {
+        if (!flushing) {
+            flushing = true;
+            town.world.after(customer.stalledMs(), () -> {
+                flushing = false;
+                final String words = new String(out.take(), StandardCharsets.US_ASCII);
+                town.world.after(1, () -> customer.hear(this, words));
+            });
+        }
+        return out;
+    }
+
+    @Override
+    public int waiting() {
+        return out.size();
+    }
+
+    @Override
+    public void closeSoon() {
+        close();
+    }
+
+    @Override
+    public void close() {
+        if (up) {
+            up = false;
+            if (owner != null && served()) {
+                owner.closed();
+            }
+            town.world.after(1, () -> customer.closed(this));
+        }
+    }
+
+    @Override
+    public boolean open() {
+        return up;
+    }
+}
