A ledger file that could not be rewritten is closed before it is removed

Found on rereading: each try on a full disk left the half-written file open, which kept its room and a descriptor.

--- a/src/main/java/yewjunction/ledger/LocalDisk.java
+++ b/src/main/java/yewjunction/ledger/LocalDisk.java
@@ -95,17 +95,24 @@
     @Override
     public void replace(final String name, final byte[] bytes) {
         final Path fresh = folder.resolve(name + ".new");
-        final FileChannel channel;
+        FileChannel written = null;
         try {
-            channel = FileChannel.open(fresh, CREATE, TRUNCATE_EXISTING, READ, WRITE);
-            write(channel, bytes);
-            channel.force(true);
+            written = FileChannel.open(fresh, CREATE, TRUNCATE_EXISTING, READ, WRITE);
+            write(written, bytes);
+            written.force(true);
             Files.move(fresh, folder.resolve(name), ATOMIC_MOVE);
         } catch (final IOException defect) {
-            // The old file stands as it was; the new one gives its room back.
-            guard("remove " + fresh, () -> Files.deleteIfExists(fresh));
+            // The old file stands as it was; the new one gives its room back, which an open file would keep.
+            final FileChannel given = written;
+            guard("remove " + fresh, () -> {
+                if (given != null) {
+                    given.close();
+                }
+                return Files.deleteIfExists(fresh);
+            });
             throw new Defect(LEDGER_FULL, "replace " + name + ": " + defect.getMessage(), defect);
         }
+        final FileChannel channel = written;
         guard("replace " + name, () -> {
             try (FileChannel folderChannel = FileChannel.open(folder, READ)) {
                 folderChannel.force(true);
