--- a/src/main/java/yewjunction/app/Examination.java
+++ b/src/main/java/yewjunction/app/Examination.java
@@ -17,7 +17,7 @@
 import yewjunction.settings.Settings;
 import yewjunction.window.Windows;
 
-import static yewjunction.base.Limits.DOCTOR_AGAIN_MS;
+import static yewjunction.base.ToolLimits.DOCTOR_AGAIN_MS;
 
 /** The doctor on the command line. */
 final class Examination {
--- a/src/main/java/yewjunction/app/Rehearsal.java
+++ b/src/main/java/yewjunction/app/Rehearsal.java
@@ -24,8 +24,9 @@
     private static final int PATIENCE_MS = 20_000;
     private static final String CONFIGURATION = """
         {"Ver":1,"Routes":[{"Name":"r","Host":"","Pfx":"rehearsal.","Type":"kept","TimeoutMs":1500,"LingerS":30.0,\
-        "Fifo":"topic","Public":false}],"Svcs":[],"Lims":{"Subs":20},"Tenants":[{"Name":"t","Apikeys":["key"],\
-        "RatePerS":50,"Burst":50}]}""";
+        "Fifo":"topic","Public":false},{"Name":"d","Host":"","Pfx":"dispatch.","Type":"kept","TimeoutMs":1500,"LingerS":30.0,\
+        "Fifo":"from","After":["r"],"Public":false}],"Svcs":[],"Lims":{"Subs":20},"Tenants":[{"Name":"t","Apikeys":["key"],\
+        "RatePerS":50,"Burst":50},{"Name":"rush","Apikeys":["rush"],"RatePerS":5,"Burst":1,"BorrowMax":3,"RepayShare":0.5}]}""";
     private final Path folder;
     private final int port;
     private final PrintStream out;
@@ -97,7 +98,9 @@
             }
             out.println("rehearsal: -> " + in.readLine());
             in.readLine();
-            return filtered(client, in);
+            final int done = filtered(client, in);
+            final Showcase showcase = new Showcase("127.0.0.4", port + 4, port + 6, out);
+            return done == Main.EXIT_OK && showcase.order() && showcase.borrowing() ? Main.EXIT_OK : 1;
         }
     }
 
--- a/src/main/java/yewjunction/base/Limits.java
+++ b/src/main/java/yewjunction/base/Limits.java
@@ -1,6 +1,6 @@
 package yewjunction.base;
 
-/** Every constant of the system, with its unit and the reason for its value. */
+/** Every constant of the daemons, with its unit and the reason for its value; those of the tools: ToolLimits. */
 public final class Limits {
     private Limits() {
     }
@@ -79,6 +79,19 @@
     public static final int REPLAY_PIECE_BYTES = 64 << 10;
     /** bytes; what waits for all clients of an edge together: when readers stall in numbers, the slowest are cut. */
     public static final int CLIENTS_QUEUE_BYTES = 24 << 20;
+    // --- declared order ---
+    /** ms; a burst of SUBs after a greeting is over when none has come for so long (a client's round trip), and at most. */
+    public static final long ORDER_BURST_MS = 50, ORDER_BURST_MOST_MS = 300;
+    /** ms; pace of looking whether what was waited for has been written. */
+    public static final long ORDER_LOOK_MS = 10;
+    /** ms; a link that waits for an earlier channel for so long is closed: its cursors are taken up anew. */
+    public static final long ORDER_WAIT_MS = 8_000;
+    /** ms; what comes so soon after a refusal was sent before its sender heard of it: a round trip of a slow client. */
+    public static final long ORDER_DENIED_MS = 250;
+    /** count; senders whose last numbers are known for each subscription of a link. */
+    public static final int GUARD_SENDERS = 32;
+    /** count; channels whose breaks are counted apart. */
+    public static final int DISORDER_CHANNELS = 100;
     // --- drain ---
     /** ms; links are moved over this span, so that the other edges take them one by one. */
     public static final long MOVE_SPAN_MS = 1_200;
@@ -207,6 +220,19 @@
     public static final long VAULTS_WAIT_MS = 12_000;
     /** ms; pace of a vault's call to crux. */
     public static final long ENROL_MS = 500;
+    // --- borrowing ahead ---
+    /** messages; the largest debt and rate of a tenant that borrows: above any in use, and far from overflow in thousandths. */
+    public static final long BORROW_MOST = 1_000_000_000L;
+    /** share of RatePerS withheld while in debt where RepayShare is absent: half goes on as before. */
+    public static final double REPAY_SHARE = 0.5;
+    /** ms; while somebody owes, the passing of time enters the log at this pace, so that all vaults see the debt fall. */
+    public static final long SETTLE_MS = 2_000;
+    /** messages under way at the leader, above which nothing is lent: others come first. */
+    public static final int LEND_IN_FLIGHT = 256;
+    /** ms; the same for what its disk owes a write. */
+    public static final long LEND_OWED_MS = 150;
+    /** messages; borrowed in one turn of the agent, and of one tenant that wait to borrow, at most: more are denied at once. */
+    public static final int LEND_TURN = 16, LEND_WAITING = 256;
     // --- herald ---
     /** ms; beat of a home to its edges, and pace of an edge's word to its home. */
     public static final long HOME_BEAT_MS = 300;
@@ -218,32 +244,6 @@
     public static final long HOMELESS_MS = 3_000;
     /** messages; one piece of a stream at most. */
     public static final int FLOW_ITEMS = 200;
-    // --- doctor ---
-    /** ms; one call of the doctor: a machine that takes longer is as good as silent. */
-    public static final int DOCTOR_CALL_MS = 1_500;
-    /** ms; between two looks: longer than an election, and than news of a sibling takes. */
-    public static final long DOCTOR_AGAIN_MS = 2_500;
-    /** ms; clocks further apart than this confuse whoever reads two logs; the Date header has whole seconds. */
-    public static final long DOCTOR_APART_MS = 3_000;
-    /** ms; a vault that has not called for several of its paces. */
-    public static final long DOCTOR_SILENT_MS = 5_000;
-    /** entries; a healthy vault is a second's messages behind at the most. */
-    public static final long DOCTOR_BEHIND = 2_000;
-    /** share of a disk above which a ledger file leaves too little room for its own rewriting. */
-    public static final double DOCTOR_FULL_SHARE = 0.4;
-    /** ms; a process that has not asked a crux for its lease for so long is no ward of it. */
-    public static final long WARD_MS = 20_000;
-    /** messages; an edge's intake that is filling up. */
-    public static final long DOCTOR_WAITING = 500;
-    /** ms; a disk that owes a write for so long is slow, stalled or full. */
-    public static final long DOCTOR_OWED_MS = 1_000;
-    /** per cent of a process's memory in use: seen twice, it is not just due for collection. */
-    public static final int DOCTOR_MEMORY_PCT = 92;
-    // --- maintenance windows ---
-    /** bytes; a calendar file at most: far above years of planned work. */
-    public static final long WINDOW_FILE_BYTES = 4 << 20;
-    /** starts of a recurrence looked at near a moment. */
-    public static final int WINDOW_TURNS = 1_000;
     // --- settings ---
     /** ms; pace of looking at the settings file. */
     public static final long SETTINGS_LOOK_MS = 1_000;
--- a/src/main/java/yewjunction/charter/Charter.java
+++ b/src/main/java/yewjunction/charter/Charter.java
@@ -9,6 +9,8 @@
 import com.typesafe.config.ConfigValue;
 import com.typesafe.config.ConfigValueType;
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -22,6 +24,12 @@
 import static yewjunction.base.Defect.Code.CONFIG_SERVICE;
 import static yewjunction.base.Defect.Code.CONFIG_TIMEOUT;
 import static yewjunction.base.Defect.Code.CONFIG_UNREADABLE;
+import static yewjunction.base.Limits.BORROW_MOST;
+import static yewjunction.base.Limits.REPAY_SHARE;
+import static yewjunction.charter.Fields.items;
+import static yewjunction.charter.Fields.names;
+import static yewjunction.charter.Fields.number;
+import static yewjunction.charter.Fields.text;
 
 /** One version of the operator's configuration, checked; all fields are kept as they were sent. */
 public final class Charter {
@@ -33,10 +41,15 @@
     private int subs = Integer.MAX_VALUE;
 
     /** A space of topics. */
-    public record Space(String name, String host, String prefix, long timeoutMs, long keepMs, boolean open) {
+    public record Space(String name, String host, String prefix, long timeoutMs, long keepMs, boolean open, Set<String> after) {
+        /** Whether a message here comes to no subscriber of both before an earlier one of the other space. */
+        public boolean follows(final Space other) {
+            return after.contains(other.name);
+        }
     }
 
-    public record Tenant(String name, Set<String> keys, double perSecond, double burst) {
+    /** Borrow: whole messages it may owe, 0 for none; repay: millionths of its rate withheld while it owes. */
+    public record Tenant(String name, Set<String> keys, double perSecond, double burst, long borrowMax, long repayPpm) {
     }
 
     private Charter(final Config whole) {
@@ -75,30 +88,6 @@
         }
     }
 
-    private static long number(final Config from, final String field, final String path) {
-        if (!from.hasPath(field) || from.getValue(field).valueType() != ConfigValueType.NUMBER) {
-            throw new Defect(CONFIG_FIELD, path + ": must be a number");
-        }
-        return from.getLong(field);
-    }
-
-    private static String text(final Config from, final String field, final String path, final boolean needed) {
-        if (!from.hasPath(field)) {
-            if (needed) {
-                throw new Defect(CONFIG_FIELD, path + "." + field + ": is missing");
-            }
-            return "";
-        }
-        if (from.getValue(field).valueType() != ConfigValueType.STRING) {
-            throw new Defect(CONFIG_FIELD, path + "." + field + ": must be text");
-        }
-        return from.getString(field);
-    }
-
-    private static List<? extends Config> items(final Config from, final String field) {
-        return from.hasPath(field) ? from.getConfigList(field) : List.of();
-    }
-
     private void readSpaces() {
         final Set<String> services = new HashSet<>();
         for (final Config service : items(whole, "Svcs")) {
@@ -126,7 +115,15 @@
             }
             final double keepS = route.hasPath("LingerS") ? route.getDouble("LingerS") : 0;
             spaces.add(new Space(name, host, prefix, (long) route.getDouble("TimeoutMs"), (long) (keepS * 1_000),
-                route.hasPath("Public") && route.getBoolean("Public")));
+                route.hasPath("Public") && route.getBoolean("Public"), Set.copyOf(names(route, "After", path))));
+        }
+        for (final Space space : spaces) {
+            for (final String earlier : space.after) {
+                if (earlier.equals(space.name) || !names.contains(earlier)) {
+                    throw new Defect(CONFIG_FIELD, "Routes." + space.name + ".After: " + (earlier.equals(space.name)
+                        ? "names the route itself" : "there is no route " + earlier));
+                }
+            }
         }
         // The longest prefix wins: the first that fits is the one.
         spaces.sort((one, other) -> other.prefix.length() - one.prefix.length());
@@ -136,8 +133,7 @@
         for (final Config item : items(whole, "Tenants")) {
             final String name = text(item, "Name", "Tenants", true);
             final Set<String> keys = new HashSet<>(item.hasPath("Apikeys") ? item.getStringList("Apikeys") : List.of());
-            final Tenant tenant = new Tenant(name, keys, item.hasPath("RatePerS") ? item.getDouble("RatePerS") : 0,
-                item.hasPath("Burst") ? item.getDouble("Burst") : 0);
+            final Tenant tenant = tenant(name, keys, item);
             if (tenantsByName.put(name, tenant) != null) {
                 throw new Defect(CONFIG_KEY, "Tenants." + name + ": the name stands twice");
             }
@@ -149,6 +145,25 @@
         }
     }
 
+    private static Tenant tenant(final String name, final Set<String> keys, final Config item) {
+        final String path = "Tenants." + name;
+        final double rate = item.hasPath("RatePerS") ? item.getDouble("RatePerS") : 0;
+        final double borrowMax = number(item, "BorrowMax", path, 0);
+        final double repayShare = number(item, "RepayShare", path, REPAY_SHARE);
+        if (borrowMax < 0 || borrowMax > BORROW_MOST || borrowMax != Math.rint(borrowMax)) {
+            throw new Defect(CONFIG_FIELD, path + ".BorrowMax: must be a whole number from 0 to " + BORROW_MOST);
+        }
+        // A share that no millionth is left of would never repay anything.
+        if (!(repayShare >= 1e-6 && repayShare <= 1)) {
+            throw new Defect(CONFIG_FIELD, path + ".RepayShare: must be above 0 (at least 0.000001) and at most 1");
+        }
+        if (borrowMax > 0 && !(rate > 0 && rate <= BORROW_MOST)) {
+            throw new Defect(CONFIG_FIELD, path + ".BorrowMax: needs a RatePerS above 0 that repays it, at most " + BORROW_MOST);
+        }
+        return new Tenant(name, keys, rate, item.hasPath("Burst") ? item.getDouble("Burst") : 0, (long) borrowMax,
+            Math.round(repayShare * 1e6));
+    }
+
     public long version() {
         return version;
     }
@@ -170,6 +185,14 @@
         return tenantsByName.get(name);
     }
 
+    public Collection<Tenant> tenants() {
+        return Collections.unmodifiableCollection(tenantsByName.values());
+    }
+
+    public Collection<Space> spaces() {
+        return Collections.unmodifiableCollection(spaces);
+    }
+
     public int subs() {
         return subs;
     }
--- a/src/main/java/yewjunction/charter/Desk.java
+++ b/src/main/java/yewjunction/charter/Desk.java
@@ -1,11 +1,16 @@
 package yewjunction.charter;
 
 import com.typesafe.config.Config;
+import com.typesafe.config.ConfigRenderOptions;
+import com.typesafe.config.ConfigValueFactory;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.ArrayDeque;
 import java.util.HexFormat;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.function.Consumer;
 import yewjunction.base.Defect;
 import yewjunction.base.Event;
@@ -62,12 +67,15 @@
             answer.accept(Answer.deny(413, "BODY_TOOBIG", "at most " + CONFIG_BYTES + " bytes"));
         } else if (shape.equals("outlook show")) {
             answer.accept(Answer.of(200, outlook.json()));
+        } else if (shape.equals("order show")) {
+            answer.accept(Answer.of(200, outlook.order()));
         } else if (!ledger.leads()) {
             answer.accept(elsewhere());
         } else {
             switch (shape) {
                 case "config show" -> show(answer);
                 case "config replace", "config update" -> inTurn(() -> change(errand, shape, answer));
+                case "quota show" -> quotaShow(segments[3], answer);
                 case "retire begin" -> retire(segments[3], answer);
                 default -> retireShow(segments[3], answer);
             }
@@ -81,8 +89,12 @@
                 default -> null;
             };
         }
-        if (segments.length == 4 && segments[1].equals("-") && segments[2].equals("outlook") && segments[3].equals("show")) {
-            return "outlook show";
+        if (segments.length == 4 && segments[1].equals("-") && segments[3].equals("show")
+            && (segments[2].equals("outlook") || segments[2].equals("order"))) {
+            return segments[2] + " show";
+        }
+        if (segments.length == 5 && segments[1].equals("-") && segments[2].equals("quota") && segments[4].equals("show")) {
+            return "quota show";
         }
         if (segments.length == 5 && segments[1].equals("-") && segments[2].equals("retire")) {
             return switch (segments[4]) {
@@ -205,6 +217,24 @@
         }
     }
 
+    /** A tenant's terms, and its account at each vault; one that is gone from the configuration may still owe. */
+    private void quotaShow(final String name, final Consumer<Answer> answer) {
+        final Charter.Tenant tenant = core.current() == null ? null : core.current().tenant(name);
+        final List<Map<String, Object>> rows = registrar.balanceRows(name);
+        if (tenant == null && rows.isEmpty()) {
+            answer.accept(Answer.deny(404, "TENANT_UNKNOWN", name));
+            return;
+        }
+        final Map<String, Object> page = new LinkedHashMap<>();
+        page.put("Tenant", name);
+        page.put("RatePerS", tenant == null ? 0 : tenant.perSecond());
+        page.put("Burst", tenant == null ? 0 : tenant.burst());
+        page.put("BorrowMax", tenant == null ? 0 : tenant.borrowMax());
+        page.put("RepayShare", tenant == null ? 0 : tenant.repayPpm() / 1e6);
+        page.put("Vaults", rows);
+        answer.accept(Answer.of(200, ConfigValueFactory.fromMap(page).render(ConfigRenderOptions.concise())));
+    }
+
     private void retireShow(final String node, final Consumer<Answer> answer) {
         ledger.confirm(held -> {
             final Facts.Retiring retiring = core.facts().retiring(node);
--- a/src/main/java/yewjunction/charter/Letters.java
+++ b/src/main/java/yewjunction/charter/Letters.java
@@ -44,6 +44,10 @@
         int memoryPct;
         /** Nodes that hold no duty any more, told by the vault group's leader. */
         List<String> emptied = new ArrayList<>();
+        /** What tenants that borrow ahead hold and owe at a vault. */
+        List<Balance> balances = new ArrayList<>();
+        /** Breaks of the declared order that an edge met since its start. */
+        List<Disorder> disorders = new ArrayList<>();
     }
 
     /** A lease when held is set, else only news. */
--- a/src/main/java/yewjunction/charter/Outlook.java
+++ b/src/main/java/yewjunction/charter/Outlook.java
@@ -27,6 +27,11 @@
         this.wards = wards;
     }
 
+    /** Breaks of the declared order that the edges which ask this crux for leases have met. */
+    String order() {
+        return ConfigValueFactory.fromMap(Map.of("Channels", wards.disorders())).render(ConfigRenderOptions.concise());
+    }
+
     String json() {
         final Map<String, Object> page = new LinkedHashMap<>();
         page.put("Nodename", roster.self().node);
@@ -48,6 +53,7 @@
         page.put("DiskOwedMs", ledger.course().owedMs());
         // Those that ask this crux for their leases: mostly its zone's.
         page.put("Wards", wards.rows());
+        page.put("Channels", wards.disorders());
         return ConfigValueFactory.fromMap(page).render(ConfigRenderOptions.concise());
     }
 }
--- a/src/main/java/yewjunction/charter/Registrar.java
+++ b/src/main/java/yewjunction/charter/Registrar.java
@@ -162,7 +162,19 @@
     List<Map<String, Object>> vaultRows() {
         final List<Map<String, Object>> rows = new ArrayList<>();
         vaults.values().forEach(seen -> rows.add(Map.of("Nodename", seen.who.node, "Applied", seen.who.applied,
-            "SeenMs", pulse.nowMs() - seen.atMs)));
+            "SeenMs", pulse.nowMs() - seen.atMs, "Accounts", seen.who.balances.stream().map(Balance::row).toList())));
+        return rows;
+    }
+
+    /** What each vault holds of one tenant's account. */
+    List<Map<String, Object>> balanceRows(final String tenant) {
+        final List<Map<String, Object>> rows = new ArrayList<>();
+        vaults.values().forEach(seen -> seen.who.balances.stream().filter(balance -> balance.tenant.equals(tenant)).forEach(balance -> {
+            final Map<String, Object> row = balance.row();
+            row.put("Nodename", seen.who.node);
+            row.put("SeenMs", pulse.nowMs() - seen.atMs);
+            rows.add(row);
+        }));
         return rows;
     }
 
--- a/src/main/java/yewjunction/charter/Tenure.java
+++ b/src/main/java/yewjunction/charter/Tenure.java
@@ -85,6 +85,16 @@
         who.diskOwedMs = owedMs;
     }
 
+    /** What tenants that borrow ahead hold and owe at this vault. */
+    public void balances(final List<Balance> balances) {
+        who.balances = balances;
+    }
+
+    /** Breaks of the declared order that this edge met. */
+    public void disorders(final List<Disorder> disorders) {
+        who.disorders = disorders;
+    }
+
     /** Nodes that the vault group's leader has emptied. */
     public void emptied(final List<String> nodes) {
         who.emptied = new ArrayList<>(nodes);
--- a/src/main/java/yewjunction/charter/Wards.java
+++ b/src/main/java/yewjunction/charter/Wards.java
@@ -8,7 +8,7 @@
 import yewjunction.base.Pulse;
 import yewjunction.charter.Letters.Who;
 
-import static yewjunction.base.Limits.WARD_MS;
+import static yewjunction.base.ToolLimits.WARD_MS;
 
 /** What the tides and vaults that ask this crux for leases say of themselves: for operators and the doctor only. */
 final class Wards {
@@ -26,6 +26,13 @@
         seen.put(who.address, new Seen(who, pulse.nowMs()));
     }
 
+    /** Breaks of the declared order, by channel and edge. */
+    List<Map<String, Object>> disorders() {
+        final List<Map<String, Object>> rows = new ArrayList<>();
+        seen.values().forEach(one -> one.who.disorders.forEach(disorder -> rows.add(disorder.row(one.who.node))));
+        return rows;
+    }
+
     List<Map<String, Object>> rows() {
         final long nowMs = pulse.nowMs();
         // Whoever asks another crux now is that one's ward.
--- a/src/main/java/yewjunction/dock/Berth.java
+++ b/src/main/java/yewjunction/dock/Berth.java
@@ -1,26 +1,35 @@
 package yewjunction.dock;
 
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import yewjunction.base.Event;
+import yewjunction.charter.Charter;
 import yewjunction.loom.Line;
 import yewjunction.loom.Outbox;
 import yewjunction.vault.Message;
 
 import static yewjunction.base.Limits.CLIENT_QUEUE_BYTES;
 import static yewjunction.base.Limits.FRESH_MS;
+import static yewjunction.base.Limits.ORDER_DENIED_MS;
 
 /** One client's link: what it has said, what it subscribes, and how answers are written to it. */
 final class Berth implements Line.Owner {
     private static final byte[] END = {'\r', '\n'};
     final Line line;
     final Map<String, Sub> subs = new LinkedHashMap<>();
+    /** Looks at each message once more before it is written. */
+    final Guard guard = new Guard();
+    /** When this client's messages to a space were last not accepted. */
+    private final Map<String, Long> deniedMs = new HashMap<>(2);
     private final Dock dock;
     private final Words words = new Words();
     String client = "";
     String secret = "";
     long heardMs;
     long greetedMs;
+    /** When the newest SUB was read. */
+    long subscribedMs;
     private long highestNumber = -1;
     int underWay;
     boolean moved;
@@ -41,6 +50,17 @@
         return first;
     }
 
+    void denied(final Charter.Space space, final long nowMs) {
+        if (space != null) {
+            deniedMs.put(space.name(), nowMs);
+        }
+    }
+
+    /** A message of this space was sent, most likely, before its sender heard that one it is to follow was not accepted. */
+    boolean bereft(final Charter.Space space, final long nowMs) {
+        return space.after().stream().anyMatch(earlier -> nowMs - deniedMs.getOrDefault(earlier, Long.MIN_VALUE / 2) < ORDER_DENIED_MS);
+    }
+
     boolean greeted() {
         return !client.isEmpty();
     }
@@ -152,6 +172,13 @@
     }
 
     void message(final Message message) {
+        final String breach = guard.breach(message, dock.nowMs());
+        if (breach != null) {
+            // Never written out of place: the client's cursor decides what it gets when it comes back.
+            dock.disorders().broken(message.topic, client, breach);
+            line.close();
+            return;
+        }
         final Outbox out = line.out();
         out.putAscii("MSG ");
         out.putAscii(message.topic);
--- a/src/main/java/yewjunction/dock/Boarding.java
+++ b/src/main/java/yewjunction/dock/Boarding.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import yewjunction.base.Pulse;
+import yewjunction.charter.Charter;
 import yewjunction.herald.Envoy;
 import yewjunction.vault.Message;
 import yewjunction.weave.Weave;
@@ -19,6 +20,7 @@
     private final Dock dock;
     private final Pulse pulse;
     private final Weave weave;
+    private final Precedence precedence = new Precedence();
     private final Replays replays;
     private final Map<String, List<Sub>> byTopic = new HashMap<>();
     private final Map<Long, Sub> joining = new LinkedHashMap<>();
@@ -32,13 +34,24 @@
         this.dock = dock;
         this.pulse = pulse;
         this.weave = weave;
-        replays = new Replays(pulse, this::fetch);
+        replays = new Replays(pulse, precedence, this::fetch);
     }
 
     void envoy(final Envoy chosenEnvoy) {
         envoy = chosenEnvoy;
     }
 
+    /** What the channels declare from now on. */
+    void charter(final Charter charter) {
+        precedence.charter(charter);
+        for (final Berth berth : dock.berths()) {
+            berth.subs.values().forEach(sub -> {
+                sub.space = charter.space(sub.topic);
+                berth.guard.declared(sub.topic, sub.space);
+            });
+        }
+    }
+
     List<Sub> subs(final String topic) {
         return byTopic.getOrDefault(topic, List.of());
     }
@@ -48,6 +61,8 @@
             filtered.add(sub);
         }
         sub.berth.subs.put(sub.topic, sub);
+        sub.berth.subscribedMs = pulse.nowMs();
+        sub.berth.guard.opened(sub.topic, sub.space);
         // Taken up from another edge: that edge's instance is cancelled by the set's own operations.
         if (weave.elsewhere(sub.topic, sub.berth.client)) {
             weave.remove(sub.topic, sub.berth.client);
@@ -94,6 +109,7 @@
             return;
         }
         if (expired) {
+            dock.disorders().gap(sub.topic, sub.berth.client, sub.position);
             giveUp(sub, "EXPIRED");
         } else if (waiting != null) {
             sub.asked = false;
@@ -112,7 +128,7 @@
         }
         final long nowMs = pulse.nowMs();
         sub.open(sub.position >= 0 ? sub.position : position, nowMs);
-        if (!more && Replays.isShort(behind)) {
+        if (!more && Replays.isShort(behind) && !precedence.follows(sub)) {
             behind.forEach(message -> sub.deliver(message, nowMs));
             sub.after = Math.max(sub.after, position);
         } else {
@@ -127,6 +143,9 @@
         for (final Sub sub : new ArrayList<>(subs(message.topic))) {
             if (sub.catching) {
                 replays.hold(sub, message);
+            } else if (precedence.follows(sub) && !precedence.free(sub, message.index)) {
+                replays.hold(sub, message);
+                replays.add(sub);
             } else {
                 sub.deliver(message, nowMs);
             }
@@ -141,7 +160,9 @@
 
     /** The link is gone, or the client gave the topic up: nothing more is delivered. */
     void forget(final Sub sub) {
-        sub.berth.subs.remove(sub.topic, sub);
+        if (sub.berth.subs.remove(sub.topic, sub)) {
+            sub.berth.guard.ended(sub.topic);
+        }
         joining.values().remove(sub);
         fetching.values().remove(sub);
         filtered.remove(sub);
--- a/src/main/java/yewjunction/dock/Dock.java
+++ b/src/main/java/yewjunction/dock/Dock.java
@@ -34,6 +34,7 @@
     private final Map<String, Berth> clients = new HashMap<>();
     private final Absentees absentees;
     private final Boarding boarding;
+    private final Disorders disorders = new Disorders();
     private final ArrayDeque<Runnable> stalled = new ArrayDeque<>();
     private LongPredicate live = replica -> true;
     private Drain drain;
@@ -78,6 +79,11 @@
         return boarding;
     }
 
+    /** Breaks of the declared order met here. */
+    public Disorders disorders() {
+        return disorders;
+    }
+
     public Shipping shipping() {
         return shipping;
     }
@@ -185,6 +191,7 @@
     }
 
     public void configChanged(final Charter charter) {
+        boarding.charter(charter);
         for (final Berth berth : berths()) {
             for (final String topic : new ArrayList<>(berth.subs.keySet())) {
                 final String denial = Errands.charterDenial(charter, berth.secret, topic);
--- a/src/main/java/yewjunction/dock/Errands.java
+++ b/src/main/java/yewjunction/dock/Errands.java
@@ -143,7 +143,7 @@
             berth.refuse("SUB", topic, "", "EXPIRED");
         } else {
             final Charter.Tenant tenant = tenure.charter().tenantOfKey(berth.secret);
-            dock.boarding().join(new Sub(berth, topic, tenant == null ? "" : tenant.name(), position, filter, dock.nowMs()));
+            dock.boarding().join(new Sub(berth, topic, tenure.charter().space(topic), tenant == null ? "" : tenant.name(), position, filter, dock.nowMs()));
         }
     }
 
@@ -182,11 +182,12 @@
         final boolean firstTry = berth.firstTry(number);
         final String denial = topic.isEmpty() || !berth.greeted() ? "BADMSG" : denial(berth, topic);
         if (denial != null) {
+            berth.denied(tenure.charter() == null ? null : tenure.charter().space(topic), dock.nowMs());
             berth.refuse("PUB", topic, words.text(2), denial.equals("RETRY") && !firstTry ? "UNKNOWN" : denial);
         } else {
             final Charter.Tenant tenant = tenure.charter().tenantOfKey(berth.secret);
             dock.shipping().ship(berth, topic, number, firstTry, tenant == null ? "" : tenant.name(),
-                tenure.charter().space(topic).timeoutMs(), words.bodyBytes());
+                tenure.charter().space(topic), words.bodyBytes());
         }
     }
 }
--- a/src/main/java/yewjunction/dock/Intake.java
+++ b/src/main/java/yewjunction/dock/Intake.java
@@ -3,6 +3,8 @@
 import java.util.ArrayDeque;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import yewjunction.base.Link;
+import yewjunction.charter.Charter.Space;
 import yewjunction.vault.Message;
 
 import static yewjunction.base.Limits.INTAKE_BYTES;
@@ -21,20 +23,27 @@
         final Message message;
         final String tenant;
         final long startMs;
+        final Space space;
         final long timeoutMs;
         /** On its way to a leader right now. */
         boolean offered;
+        /** Where it was offered last: only there is a denial remembered. */
+        Link link;
         /** Left this edge, or may have left another, at least once: then only the leader may promise that it was not accepted. */
         boolean sent;
 
+        /** It must not be accepted any more, and only a leader may promise that. */
+        boolean revoked;
+
         Parcel(final long errand, final Berth berth, final Message message, final String tenant, final long startMs,
-                final long timeoutMs) {
+                final Space space) {
             this.errand = errand;
             this.berth = berth;
             this.message = message;
             this.tenant = tenant;
             this.startMs = startMs;
-            this.timeoutMs = timeoutMs;
+            this.space = space;
+            timeoutMs = space.timeoutMs();
         }
     }
 
--- a/src/main/java/yewjunction/dock/Replays.java
+++ b/src/main/java/yewjunction/dock/Replays.java
@@ -9,6 +9,8 @@
 import yewjunction.vault.Message;
 
 import static yewjunction.base.Limits.DOCK_SWEEP_MS;
+import static yewjunction.base.Limits.ORDER_LOOK_MS;
+import static yewjunction.base.Limits.ORDER_WAIT_MS;
 import static yewjunction.base.Limits.REPLAY_LINE_BYTES;
 import static yewjunction.base.Limits.REPLAY_LIVE_MOST;
 import static yewjunction.base.Limits.REPLAY_TURN_BYTES;
@@ -22,8 +24,10 @@
     private final Pulse pulse;
     private final Consumer<Sub> asker;
     private final Map<String, Turn> turns = new LinkedHashMap<>();
+    private final Precedence precedence;
     private boolean stepping;
     private int written;
+    private boolean held;
 
     /** One tenant's subscriptions that catch up, and what of its last turn it may still use. */
     private static final class Turn {
@@ -32,8 +36,9 @@
     }
 
     /** Asker: fetches the next piece of a subscription's older messages. */
-    Replays(final Pulse pulse, final Consumer<Sub> asker) {
+    Replays(final Pulse pulse, final Precedence precedence, final Consumer<Sub> asker) {
         this.pulse = pulse;
+        this.precedence = precedence;
         this.asker = asker;
     }
 
@@ -75,6 +80,7 @@
     private void step() {
         final long nowMs = pulse.nowMs();
         written = 0;
+        held = false;
         for (final Iterator<Turn> each = turns.values().iterator(); each.hasNext();) {
             final Turn turn = each.next();
             turn.bytes += REPLAY_TURN_BYTES;
@@ -92,10 +98,26 @@
         stepping = !turns.isEmpty();
         if (stepping) {
             // Between two turns the agent serves what came meanwhile; when all wait for slow readers it looks seldom.
-            pulse.after(written > 0 ? REPLAY_TURN_MS : DOCK_SWEEP_MS, this::step);
+            pulse.after(written > 0 ? REPLAY_TURN_MS : held ? ORDER_LOOK_MS : DOCK_SWEEP_MS, this::step);
         }
     }
 
+    /** The channel follows others: whether earlier messages of those are still to be written, or may be named yet. */
+    private boolean waits(final Sub sub, final Message message, final long nowMs) {
+        final boolean waits = precedence.bursting(sub, nowMs) || message != null && !precedence.free(sub, message.index);
+        if (!waits) {
+            sub.heldMs = 0;
+            return false;
+        }
+        held = true;
+        sub.heldMs = sub.heldMs == 0 ? nowMs : sub.heldMs;
+        if (nowMs - sub.heldMs > ORDER_WAIT_MS) {
+            // It would wait without end: taken up anew by the cursors.
+            sub.berth.line.close();
+        }
+        return true;
+    }
+
     /** True while the subscription still has something to write. */
     private boolean write(final Sub sub, final Turn turn, final long nowMs) {
         if (!sub.berth.line.open() || sub.berth.subs.get(sub.topic) != sub) {
@@ -113,11 +135,16 @@
                 }
                 return false;
             }
-            final Message message = sub.replay.isEmpty() ? sub.live.poll() : sub.replay.poll();
+            final ArrayDeque<Message> queue = sub.replay.isEmpty() ? sub.live : sub.replay;
+            final Message message = queue.peek();
+            if (precedence.follows(sub) && waits(sub, message, nowMs)) {
+                return true;
+            }
             if (message == null) {
                 sub.catching = false;
                 return false;
             }
+            queue.poll();
             turn.bytes -= size(message);
             written++;
             sub.deliver(message, nowMs);
--- a/src/main/java/yewjunction/dock/Shipping.java
+++ b/src/main/java/yewjunction/dock/Shipping.java
@@ -2,11 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import yewjunction.base.Event;
 import yewjunction.base.Link;
 import yewjunction.base.Post;
 import yewjunction.base.Pulse;
+import yewjunction.charter.Charter.Space;
 import yewjunction.dock.Intake.Parcel;
 import yewjunction.vault.Letters;
 import yewjunction.vault.Letters.Admit;
@@ -28,6 +30,7 @@
     private final Pulse pulse;
     private final Post post;
     private final Intake intake = new Intake();
+    private final Pipeline pipeline = new Pipeline();
     private final Map<Long, Parcel> parcels = new LinkedHashMap<>();
     private Link leaderLink;
     private String leader = "";
@@ -54,18 +57,22 @@
     }
 
     void ship(final Berth berth, final String topic, final long number, final boolean firstTry, final String tenant,
-            final long timeoutMs, final byte[] body) {
+            final Space space, final byte[] body) {
         final Message message = new Message();
         message.topic = topic;
         message.client = berth.client;
         message.number = number;
         message.body = body;
         message.tenant(tenant);
-        final Parcel parcel = new Parcel(++errands, berth, message, tenant, pulse.nowMs(), timeoutMs);
+        final Parcel parcel = new Parcel(++errands, berth, message, tenant, pulse.nowMs(), space);
         parcel.sent = !firstTry;
         // No prospect: said at once, and the client may try where there is more.
-        if (dark || !intake.add(parcel)) {
-            refuse(parcel, parcel.sent ? "UNKNOWN" : "RETRY");
+        final boolean follows = !space.after().isEmpty();
+        final boolean bereft = follows && berth.bereft(space, parcel.startMs);
+        parcel.revoked = bereft && parcel.sent;
+        if (dark || bereft && !parcel.sent
+            || !(follows && !bereft && pipeline.holds(parcel, parcels.values())) && !intake.add(parcel)) {
+            giveUp(parcel);
             return;
         }
         if (unansweredMs == 0) {
@@ -88,9 +95,11 @@
             }
             final Parcel parcel = intake.next();
             final Admit admit = new Admit();
-            admit.errand = parcel.errand;
+            admit.request = parcel.errand;
             admit.message = parcel.message;
+            admit.revoked = parcel.revoked ? true : null;
             parcel.offered = true;
+            parcel.link = leaderLink;
             parcel.sent = true;
             offered++;
             if (!leaderLink.send(admit)) {
@@ -105,7 +114,7 @@
     private void takeBack() {
         offered = 0;
         intake.clear();
-        parcels.values().forEach(parcel -> {
+        parcels.values().stream().filter(parcel -> !pipeline.holding(parcel)).forEach(parcel -> {
             parcel.offered = false;
             intake.put(parcel);
         });
@@ -146,22 +155,25 @@
 
     private void verdict(final Link link, final Verdict verdict) {
         if (verdict.what == Letters.ELSEWHERE) {
-            // Not leading, or not yet. Each of them is told so; the first word says it all.
+            // Not leading, or not yet: the first word says it all.
             if (link == leaderLink && offered > 0) {
                 takeBack();
                 pause();
             }
             return;
         }
-        final Parcel parcel = parcels.remove(verdict.errand);
-        if (parcel == null) {
+        final Parcel parcel = parcels.get(verdict.request);
+        // A denial that comes late from a former leader binds nobody once another one has been asked.
+        if (parcel == null || verdict.what == Letters.DENIED && parcel.link != link) {
             return;
         }
+        parcels.remove(parcel.errand);
         settled(parcel);
         pauseMs = OFFER_FIRST_MS;
         inTouch();
         if (verdict.what == Letters.ACCEPTED) {
             parcel.berth.ack(parcel.message.topic, parcel.message.number);
+            pipeline.accepted(parcel).forEach(intake::put);
         } else {
             refuse(parcel, "RETRY");
         }
@@ -170,6 +182,7 @@
 
     private void settled(final Parcel parcel) {
         parcel.berth.underWay--;
+        pipeline.drop(parcel);
         if (parcel.offered) {
             offered--;
         } else {
@@ -177,7 +190,25 @@
         }
     }
 
-    private static void refuse(final Parcel parcel, final String reason) {
+    /** Not accepted here, as far as is known: RETRY promises that it never left this edge. */
+    private void giveUp(final Parcel parcel) {
+        refuse(parcel, parcel.sent ? "UNKNOWN" : "RETRY");
+    }
+
+    private void refuse(final Parcel parcel, final String reason) {
+        parcel.berth.denied(parcel.space, pulse.nowMs());
+        // What was to follow it must not get a place in the log before it.
+        for (final Parcel later : pipeline.bereft(parcel)) {
+            if (later.sent) {
+                // Another edge may have sent it on: the leader says what became of it, and that nothing more will.
+                later.revoked = true;
+                intake.put(later);
+            } else {
+                parcels.remove(later.errand);
+                settled(later);
+                giveUp(later);
+            }
+        }
         parcel.berth.refuse("PUB", parcel.message.topic, String.valueOf(parcel.message.number), reason);
     }
 
@@ -186,9 +217,10 @@
             final long heldMs = nowMs - parcel.startMs;
             // What never left is promised away early; of the rest nothing is known here.
             if (heldMs > parcel.timeoutMs * (parcel.sent ? ANSWER_SHARE : HOLD_SHARE)) {
-                parcels.remove(parcel.errand);
-                settled(parcel);
-                refuse(parcel, parcel.sent ? "UNKNOWN" : "RETRY");
+                if (parcels.remove(parcel.errand) != null) {
+                    settled(parcel);
+                    giveUp(parcel);
+                }
             }
         }
         if (!dark && unansweredMs > 0 && nowMs - unansweredMs > DARK_MS) {
@@ -210,11 +242,9 @@
 
     /** A link is gone: its messages are not sent again from here, since the client will do so elsewhere. */
     void gone(final Berth berth) {
-        for (final Parcel parcel : new ArrayList<>(parcels.values())) {
-            if (parcel.berth == berth) {
-                parcels.remove(parcel.errand);
-                settled(parcel);
-            }
-        }
+        parcels.values().stream().filter(parcel -> parcel.berth == berth).toList().forEach(parcel -> {
+            parcels.remove(parcel.errand);
+            settled(parcel);
+        });
     }
 }
--- a/src/main/java/yewjunction/dock/Sub.java
+++ b/src/main/java/yewjunction/dock/Sub.java
@@ -1,6 +1,7 @@
 package yewjunction.dock;
 
 import java.util.ArrayDeque;
+import yewjunction.charter.Charter.Space;
 import yewjunction.vault.Message;
 
 /** One topic on one client's link. */
@@ -12,6 +13,8 @@
     /** What the client gave, -1 for none. */
     final long position;
     final long sinceMs;
+    /** What its channel declares, by the configuration in force. */
+    Space space;
     long instance;
     /** Messages up to here were judged: delivered, or not wanted. */
     long after;
@@ -30,8 +33,12 @@
     /** Where the older messages end that are still to be asked for; 0 when none are. */
     long replayTo;
     boolean asked;
+    /** Since when its next message waits for an earlier one of another channel; 0 while none does. */
+    long heldMs;
 
-    Sub(final Berth berth, final String topic, final String tenant, final long position, final Filter filter, final long sinceMs) {
+    Sub(final Berth berth, final String topic, final Space space, final String tenant, final long position, final Filter filter,
+            final long sinceMs) {
+        this.space = space;
         this.berth = berth;
         this.topic = topic;
         this.tenant = tenant;
@@ -40,6 +47,17 @@
         this.sinceMs = sinceMs;
     }
 
+    /** No message before this index is still to be written here. */
+    long pendingFrom() {
+        if (!open) {
+            return position + 1;
+        }
+        if (!replay.isEmpty()) {
+            return replay.peek().index;
+        }
+        return replayTo > 0 ? after + 1 : live.isEmpty() ? Long.MAX_VALUE : live.peek().index;
+    }
+
     boolean filtered() {
         return filter != null;
     }
--- a/src/main/java/yewjunction/doctor/Doctor.java
+++ b/src/main/java/yewjunction/doctor/Doctor.java
@@ -16,14 +16,14 @@
 import yewjunction.settings.Settings;
 import yewjunction.window.Windows;
 
-import static yewjunction.base.Limits.DOCTOR_APART_MS;
-import static yewjunction.base.Limits.DOCTOR_BEHIND;
-import static yewjunction.base.Limits.DOCTOR_CALL_MS;
-import static yewjunction.base.Limits.DOCTOR_FULL_SHARE;
-import static yewjunction.base.Limits.DOCTOR_MEMORY_PCT;
-import static yewjunction.base.Limits.DOCTOR_OWED_MS;
-import static yewjunction.base.Limits.DOCTOR_SILENT_MS;
-import static yewjunction.base.Limits.DOCTOR_WAITING;
+import static yewjunction.base.ToolLimits.DOCTOR_APART_MS;
+import static yewjunction.base.ToolLimits.DOCTOR_BEHIND;
+import static yewjunction.base.ToolLimits.DOCTOR_CALL_MS;
+import static yewjunction.base.ToolLimits.DOCTOR_FULL_SHARE;
+import static yewjunction.base.ToolLimits.DOCTOR_MEMORY_PCT;
+import static yewjunction.base.ToolLimits.DOCTOR_OWED_MS;
+import static yewjunction.base.ToolLimits.DOCTOR_SILENT_MS;
+import static yewjunction.base.ToolLimits.DOCTOR_WAITING;
 
 /** Looks once from where it runs: at the operator's addresses, this machine's readiness and its data folder. */
 public final class Doctor {
@@ -158,6 +158,12 @@
             for (final Config ward : outlook.hasPath("Wards") ? outlook.getConfigList("Wards") : List.<Config>of()) {
                 ward(ward, ward.getString("Nodename") + " (" + ward.getString("Duty") + ")");
             }
+            for (final Config channel : outlook.hasPath("Channels") ? outlook.getConfigList("Channels") : List.<Config>of()) {
+                if (channel.getLong("Breaks") > 0) {
+                    found(Code.ORDER_BROKEN, channel.getString("Nodename") + " met " + channel.getLong("Breaks") + " breaks of the order declared for "
+                        + channel.getString("Topic"), "nothing was written out of place; report its events 808 with the log", channel.getString("Nodename"));
+                }
+            }
         }
     }
 
@@ -188,6 +194,7 @@
         if (rows == null) {
             return;
         }
+        findings.addAll(Debts.look(rows));
         final int needed = settings.votersNeeded();
         long newest = 0;
         int heard = 0;
--- a/src/main/java/yewjunction/node/EdgeNode.java
+++ b/src/main/java/yewjunction/node/EdgeNode.java
@@ -47,7 +47,10 @@
         dock = new Dock(pulse, post, tenure, weave, settings.pingS());
         envoy = new Envoy(pulse, post, weave, settings.node(), this::vaults, dock, dock::setChanged);
         dock.envoy(envoy);
-        tenure.reporting(() -> tenure.waiting(dock.shipping().depth(), dock.shipping().dark()));
+        tenure.reporting(() -> {
+            tenure.waiting(dock.shipping().depth(), dock.shipping().dark());
+            tenure.disorders(dock.disorders().all());
+        });
         dock.live(replica -> Node.live(replica, weave, tenure, roster));
     }
 
--- a/src/main/java/yewjunction/node/VaultNode.java
+++ b/src/main/java/yewjunction/node/VaultNode.java
@@ -70,6 +70,10 @@
         pulse.every(ENROL_MS, this::settleDuties);
     }
 
+    public boolean leads() {
+        return ledger.leads();
+    }
+
     /** What this vault keeps. */
     public Cellar cellar() {
         return cellar;
@@ -78,6 +82,7 @@
     /** Joins where a place is free, and empties what the core wants emptied. */
     private void settleDuties() {
         tenure.applied(ledger.applied());
+        tenure.balances(cellar.balances());
         final List<String> voters = ledger.voters();
         if (!tenure.facts().vaults().isEmpty() && (!voters.contains(ledger.identity()) || ledger.leaderless())) {
             // Whether there is a seat is the leader's matter.
@@ -85,6 +90,7 @@
             Node.addresses(roster, "vault").forEach(sibling -> ledger.join(sibling, wanted));
         }
         if (ledger.leads()) {
+            gate.lending().look(tenure.charter());
             emptyRetiring(voters);
         }
     }
@@ -124,6 +130,7 @@
     @Override
     public void configChanged(final Charter charter) {
         cellar.charter(charter);
+        gate.lending().look(charter);
     }
 
     @Override
--- /dev/null
+++ b/src/main/java/yewjunction/vault/Accounts.java
@@ -0,0 +1,166 @@
+package yewjunction.vault;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.BiConsumer;
+import yewjunction.base.Event;
+import yewjunction.charter.Balance;
+
+/** The accounts of all tenants that borrow ahead or still owe: part of the state that the vaults' log drives. */
+final class Accounts {
+    private final Map<String, Account> byTenant = new TreeMap<>();
+    /** The configuration whose terms are in force. */
+    private long version;
+    /** The newest log time, and when this vault heard it by its own steady clock. */
+    private long stampMs;
+    private long heardMs;
+    /** Told of an account that ends, with what it held; null in a leader's copy, which also logs nothing. */
+    private final BiConsumer<String, Long> ended;
+
+    Accounts(final BiConsumer<String, Long> ended) {
+        this.ended = ended;
+    }
+
+    /** As a snapshot holds it. */
+    static final class Saved {
+        long version;
+        long stampMs;
+        List<Account> accounts = new ArrayList<>();
+    }
+
+    boolean none() {
+        return byTenant.isEmpty();
+    }
+
+    long version() {
+        return version;
+    }
+
+    Account of(final String tenant) {
+        return byTenant.get(tenant);
+    }
+
+    Iterable<Account> all() {
+        return byTenant.values();
+    }
+
+    /**
+     * Log time as far as this vault can tell: the newest stamp and what has passed here since. What was not counted, as
+     * between two leaders or while all were down, makes a debt fall later, never sooner.
+     */
+    long timeMs(final long nowMs) {
+        return stampMs + Math.max(0, nowMs - heardMs);
+    }
+
+    /** What the accounts will be once all that is in flight is applied; its time goes on from here. */
+    Accounts ahead() {
+        final Accounts copy = new Accounts(null);
+        byTenant.forEach((tenant, account) -> copy.byTenant.put(tenant, account.copy()));
+        copy.version = version;
+        copy.stampMs = stampMs;
+        copy.heardMs = heardMs;
+        return copy;
+    }
+
+    /** An entry that was admitted while the tenant had no account bears no stamp and changes nothing. */
+    void apply(final long index, final Message message, final long nowMs) {
+        if (message.stampMs == null) {
+            return;
+        }
+        // Invariant: log time never goes back.
+        if (message.stampMs < stampMs) {
+            throw new IllegalStateException("stamp " + message.stampMs + " after " + stampMs);
+        }
+        stampMs = message.stampMs;
+        heardMs = nowMs;
+        if (message.change == null) {
+            charge(index, message.tenant, stampMs);
+        } else {
+            change(index, message.change, stampMs);
+        }
+    }
+
+    void charge(final long index, final String tenant, final long atMs) {
+        final Account account = byTenant.get(tenant);
+        final long before = account.debt;
+        account.charge(atMs);
+        account.index = index;
+        told(account, before);
+    }
+
+    private void told(final Account account, final long before) {
+        if (ended != null && before == 0 && account.debt > 0) {
+            Event.BORROWING_BEGAN.info(account.terms.tenant + " at " + account.index);
+        } else if (ended != null && before > 0 && account.debt == 0) {
+            Event.DEBT_REPAID.info(account.terms.tenant + " at " + account.index + ", in all " + account.repaid / Account.ONE);
+        }
+    }
+
+    void change(final long index, final Terms.Change change, final long atMs) {
+        byTenant.values().forEach(account -> {
+            final long before = account.debt;
+            account.refill(atMs);
+            account.index = index;
+            told(account, before);
+        });
+        if (change.version >= version && change.version > 0) {
+            version = change.version;
+            agree(index, change.terms, atMs);
+        }
+    }
+
+    private void agree(final long index, final List<Terms> all, final long atMs) {
+        final Set<String> named = new HashSet<>();
+        for (final Terms terms : all) {
+            named.add(terms.tenant);
+            final Account account = byTenant.computeIfAbsent(terms.tenant, key -> {
+                final Account fresh = new Account();
+                fresh.tokens = terms.firstTokens;
+                fresh.atMs = atMs;
+                fresh.index = index;
+                return fresh;
+            });
+            account.agree(terms.copy());
+        }
+        for (final Account account : new ArrayList<>(byTenant.values())) {
+            if (!named.contains(account.terms.tenant) && account.debt == 0) {
+                byTenant.remove(account.terms.tenant);
+                if (ended != null) {
+                    ended.accept(account.terms.tenant, account.tokens);
+                }
+            }
+        }
+    }
+
+    List<Balance> balances() {
+        final List<Balance> balances = new ArrayList<>();
+        byTenant.values().forEach(account -> balances.add(account.balance()));
+        return balances;
+    }
+
+    /** Null where nobody has borrowed yet: snapshots are then as they were. */
+    Saved saved() {
+        if (stampMs == 0 && byTenant.isEmpty()) {
+            return null;
+        }
+        final Saved saved = new Saved();
+        saved.version = version;
+        saved.stampMs = stampMs;
+        saved.accounts.addAll(byTenant.values());
+        return saved;
+    }
+
+    void restore(final Saved saved, final long nowMs) {
+        byTenant.clear();
+        heardMs = nowMs;
+        version = saved == null ? 0 : saved.version;
+        stampMs = saved == null ? 0 : saved.stampMs;
+        if (saved != null) {
+            saved.accounts.forEach(account -> byTenant.put(account.terms.tenant, account));
+        }
+    }
+}
--- a/src/main/java/yewjunction/vault/Cellar.java
+++ b/src/main/java/yewjunction/vault/Cellar.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import yewjunction.base.Pulse;
+import yewjunction.charter.Balance;
 import yewjunction.charter.Charter;
 import yewjunction.ledger.Machine;
 import yewjunction.settings.Settings;
@@ -29,6 +30,7 @@
     private final Map<String, Shelf> byTopic = new HashMap<>();
     final Numbers numbers = new Numbers();
     final Quotas quotas;
+    final Accounts accounts;
     private Charter charter;
     private long floor;
 
@@ -43,6 +45,8 @@
         List<Numbers.Track> tracks = new ArrayList<>();
         List<Floor> floors = new ArrayList<>();
         long floor;
+        /** Null while nobody borrows ahead. */
+        Accounts.Saved accounts;
     }
 
     static final class Floor {
@@ -64,6 +68,7 @@
         this.pulse = pulse;
         quotas = new Quotas(settings.quotaWindowS(), settings.quotaExcess(), settings.quotaSlack(), pulse.nowMs());
         this.watcher = watcher;
+        accounts = new Accounts((tenant, tokens) -> quotas.continued(tenant, tokens, pulse.nowMs()));
         pulse.every(VAULT_SWEEP_MS, this::sweep);
     }
 
@@ -82,8 +87,13 @@
         ProtostuffIOUtil.mergeFrom(data, message, MESSAGES);
         message.index = index;
         message.atMs = pulse.nowMs();
+        accounts.apply(index, message, message.atMs);
+        if (message.change != null) {
+            // Of the accounts alone: no client sent it, and none gets it.
+            return;
+        }
         numbers.accept(message.client, message.topic, message.number, message.atMs);
-        if (!watcher.admittedHere(message)) {
+        if (message.stampMs == null && !watcher.admittedHere(message)) {
             quotas.count(message.tenant, message.atMs);
         }
         put(message);
@@ -122,6 +132,11 @@
         return floor;
     }
 
+    /** What tenants that borrow ahead hold and owe here. */
+    public List<Balance> balances() {
+        return accounts.balances();
+    }
+
     private void sweep() {
         final long nowMs = pulse.nowMs();
         numbers.sweep(nowMs);
@@ -148,6 +163,7 @@
         image.messages.addAll(byIndex.values());
         image.tracks = numbers.all();
         image.floor = floor;
+        image.accounts = accounts.saved();
         byTopic.forEach((topic, shelf) -> {
             if (shelf.floor > 0) {
                 final Floor one = new Floor();
@@ -173,6 +189,7 @@
         }
         image.floors.forEach(one -> byTopic.computeIfAbsent(one.topic, key -> new Shelf()).floor = one.index);
         numbers.restore(image.tracks, nowMs);
+        accounts.restore(image.accounts, nowMs);
         quotas.forget();
     }
 
--- a/src/main/java/yewjunction/vault/Gate.java
+++ b/src/main/java/yewjunction/vault/Gate.java
@@ -27,13 +27,16 @@
     private final Map<String, Long> highestInFlight = new HashMap<>();
     private final LinkedHashMap<String, Long> deniedMs = new LinkedHashMap<>();
 
-    private record Asker(Link link, long errand) {
+    private final Lending lending;
+
+    private record Asker(Link link, long request) {
     }
 
     public Gate(final Pulse pulse, final Post post, final Ledger ledger, final Cellar cellar) {
         this.pulse = pulse;
         this.ledger = ledger;
         this.cellar = cellar;
+        lending = new Lending(pulse, ledger, cellar);
         post.on(Admit.class, this::admit);
     }
 
@@ -41,9 +44,27 @@
         return Numbers.key(message.client, message.topic) + " " + message.number;
     }
 
+    /** The leader's side of borrowing ahead. */
+    public Lending lending() {
+        return lending;
+    }
+
     private void admit(final Link link, final Admit admit) {
+        // What an edge says of accounts counts for nothing: only the leader stamps.
+        admit.message.stampMs = null;
+        admit.message.change = null;
+        final Asker asker = new Asker(link, admit.request);
         final Message message = admit.message;
-        final Asker asker = new Asker(link, admit.errand);
+        if (admit.revoked != null && ledger.leads() && !inFlight.containsKey(key(message))
+            && !cellar.numbers.accepted(message.client, message.topic, message.number)) {
+            deny(key(message), asker);
+        } else {
+            decide(asker, message, false);
+        }
+    }
+
+    /** In turn: it waited until all that paid had passed, and may borrow now. */
+    private void decide(final Asker asker, final Message message, final boolean inTurn) {
         if (!ledger.leads()) {
             answer(asker, ELSEWHERE);
             return;
@@ -61,6 +82,8 @@
                 highestInFlight.getOrDefault(track, 0L))) {
             // Never accepted and below an accepted one: it would break the sender's order.
             deny(key, asker);
+        } else if (lending.keeps(message.tenant)) {
+            account(key, track, message, asker, inTurn);
         } else if (!cellar.quotas.take(message.tenant, pulse.nowMs())) {
             deny(key, asker);
         } else {
@@ -68,6 +91,18 @@
         }
     }
 
+    private void account(final String key, final String track, final Message message, final Asker asker, final boolean inTurn) {
+        final long stampMs = lending.stampMs();
+        switch (lending.verdict(message.tenant, stampMs, inTurn)) {
+            case PAYS, BORROWS -> {
+                message.stampMs = stampMs;
+                append(key, track, message, asker);
+            }
+            case WAITS -> lending.await(message.tenant, () -> decide(asker, message, true));
+            default -> deny(key, asker);
+        }
+    }
+
     private void append(final String key, final String track, final Message message, final Asker asker) {
         final List<Asker> askers = new ArrayList<>(1);
         askers.add(asker);
@@ -76,12 +111,15 @@
         final boolean taken = ledger.propose(Cellar.bytes(message), done -> {
             final List<Asker> owed = inFlight.remove(key);
             highestInFlight.remove(track, message.number);
+            lending.settled();
             // Without a clear end nothing is said: the edge asks the next leader with the same number.
             if (done && owed != null) {
                 owed.forEach(one -> answer(one, ACCEPTED));
             }
         });
-        if (!taken) {
+        if (taken) {
+            lending.proposed(message.stampMs == null ? "" : message.tenant, message.stampMs == null ? 0 : message.stampMs);
+        } else {
             inFlight.remove(key);
             highestInFlight.remove(track);
             answer(asker, ELSEWHERE);
@@ -103,7 +141,7 @@
 
     private static void answer(final Asker asker, final int what) {
         final Verdict verdict = new Verdict();
-        verdict.errand = asker.errand;
+        verdict.request = asker.request;
         verdict.what = what;
         asker.link.send(verdict);
     }
@@ -117,5 +155,6 @@
     public void leaderChanged() {
         inFlight.clear();
         highestInFlight.clear();
+        lending.leaderChanged();
     }
 }
--- a/src/main/java/yewjunction/vault/Letters.java
+++ b/src/main/java/yewjunction/vault/Letters.java
@@ -18,12 +18,14 @@
     }
 
     public static final class Admit {
-        public long errand;
+        public long request;
         public Message message;
+        /** Not to be accepted any more: asks for the leader's promise that it never will be, or for its word that it was. */
+        public Boolean revoked;
     }
 
     public static final class Verdict {
-        public long errand;
+        public long request;
         public int what;
     }
 }
--- a/src/main/java/yewjunction/vault/Message.java
+++ b/src/main/java/yewjunction/vault/Message.java
@@ -13,6 +13,11 @@
         tenant = tenantName;
     }
 
+    /** Log time, only where the tenant has an account: null costs nothing on the wire and on the disk. */
+    Long stampMs;
+    /** What it changes in the accounts, in an entry that is no message; else null. */
+    Terms.Change change;
+
     /** When this vault got it, by its own steady clock: other clocks mean nothing here. */
     transient long atMs;
 }
--- a/src/main/java/yewjunction/vault/Quotas.java
+++ b/src/main/java/yewjunction/vault/Quotas.java
@@ -66,6 +66,26 @@
         return bucket;
     }
 
+    /** A borrowing tenant's terms, in whole thousandths; a new account begins with what its bucket holds. */
+    Terms terms(final Tenant tenant, final long nowMs) {
+        final Terms terms = new Terms();
+        terms.tenant = tenant.name();
+        terms.rate = Math.round(tenant.perSecond() * Account.ONE);
+        terms.depth = (long) (depth(tenant) * Account.ONE);
+        terms.borrowMax = tenant.borrowMax() * Account.ONE;
+        terms.repayPpm = tenant.repayPpm();
+        terms.firstTokens = (long) (filled(tenant.name(), nowMs).tokens * Account.ONE);
+        return terms;
+    }
+
+    /** The tenant's account has ended: its bucket goes on with what that held. */
+    void continued(final String tenantName, final long thousandths, final long nowMs) {
+        final Bucket bucket = filled(tenantName, nowMs);
+        if (bucket != null) {
+            bucket.tokens = Math.min(bucket.tokens, (double) thousandths / Account.ONE);
+        }
+    }
+
     /** The state came from elsewhere, with messages that were not counted here. */
     void forget() {
         buckets.forEach((name, bucket) -> {
--- /dev/null
+++ b/src/main/java/yewjunction/vault/Terms.java
@@ -0,0 +1,39 @@
+package yewjunction.vault;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** On what terms one tenant borrows; in thousandths of a message, the share in millionths. */
+final class Terms {
+    String tenant = "";
+    /** A second. */
+    long rate;
+    long depth;
+    long borrowMax;
+    long repayPpm;
+    /** What a new account begins with: what the tenant's bucket held at the leader. */
+    long firstTokens;
+
+    /** Whether both say the same to an account that there is already. */
+    boolean same(final Terms other) {
+        return tenant.equals(other.tenant) && rate == other.rate && depth == other.depth && borrowMax == other.borrowMax
+            && repayPpm == other.repayPpm;
+    }
+
+    Terms copy() {
+        final Terms copy = new Terms();
+        copy.tenant = tenant;
+        copy.rate = rate;
+        copy.depth = depth;
+        copy.borrowMax = borrowMax;
+        copy.repayPpm = repayPpm;
+        return copy;
+    }
+
+    /** An entry of the vaults' log: the terms of all tenants that borrow or owe, or only that time has passed. */
+    static final class Change {
+        /** Of the configuration that the terms were read from; 0 when only time has passed. */
+        long version;
+        List<Terms> terms = new ArrayList<>();
+    }
+}
--- a/src/main/java/yewjunction/window/Windows.java
+++ b/src/main/java/yewjunction/window/Windows.java
@@ -15,8 +15,8 @@
 import java.util.TimeZone;
 import java.util.stream.Stream;
 
-import static yewjunction.base.Limits.WINDOW_FILE_BYTES;
-import static yewjunction.base.Limits.WINDOW_TURNS;
+import static yewjunction.base.ToolLimits.WINDOW_FILE_BYTES;
+import static yewjunction.base.ToolLimits.WINDOW_TURNS;
 
 /** Planned work, read once. A file that can't be read is reported and left out; the others count. */
 public final class Windows {
--- a/src/test/java/yewjunction/app/DoctorTest.java
+++ b/src/test/java/yewjunction/app/DoctorTest.java
@@ -129,6 +129,31 @@
             codes(settings(seeds), null));
     }
 
+    @Test
+    void accountsThatDifferAndTenantsAtTheirLimitAreTold() throws IOException {
+        final String account = "{\"Tenant\":\"t\",\"Index\":7,\"BorrowMax\":50.0,\"RepayShare\":0.5,\"Tokens\":1.0,\"Debt\":3.0,"
+            + "\"Borrowed\":9.0,\"Repaid\":6.0}";
+        final String vaults = "{\"Nodename\":\"v1\",\"Applied\":9,\"SeenMs\":10,\"Accounts\":[ONE]},"
+            + "{\"Nodename\":\"v2\",\"Applied\":9,\"SeenMs\":10,\"Accounts\":[TWO]},{\"Nodename\":\"v3\",\"Applied\":9,\"SeenMs\":10}";
+        final String page = outlook(true, "a:1", true, 3, "", vaults).replace(",\"b:1\",\"c:1\"", "");
+        assertEquals(Set.of(), codes(settings(List.of(serve(200, page.replace("ONE", account).replace("TWO", account)))), null));
+        // At another entry it may well differ; at the same one it may not.
+        final String later = account.replace(":7,", ":8,").replace("3.0", "49.5");
+        assertEquals(Set.of(Code.BORROW_AT_LIMIT), codes(settings(List.of(serve(200, page.replace("ONE", account).replace("TWO", later)))), null));
+        assertEquals(Set.of(Code.ACCOUNTS_DIFFER),
+            codes(settings(List.of(serve(200, page.replace("ONE", account).replace("TWO", account.replace("6.0", "5.0"))))), null));
+    }
+
+    @Test
+    void breaksOfTheDeclaredOrderAreTold() throws IOException {
+        final String vaults = "{\"Nodename\":\"v1\",\"Applied\":9,\"SeenMs\":10},{\"Nodename\":\"v2\",\"Applied\":9,\"SeenMs\":10},"
+            + "{\"Nodename\":\"v3\",\"Applied\":9,\"SeenMs\":10}";
+        final String page = outlook(true, "a:1", true, 3, "", vaults).replace(",\"b:1\",\"c:1\"", "").replaceFirst("\\{", "{\"Channels\":[CHANNELS],");
+        final String gap = "{\"Topic\":\"s.t\",\"Nodename\":\"e1\",\"Breaks\":0,\"Gaps\":4}";
+        assertEquals(Set.of(), codes(settings(List.of(serve(200, page.replace("CHANNELS", gap)))), null));
+        assertEquals(Set.of(Code.ORDER_BROKEN), codes(settings(List.of(serve(200, page.replace("CHANNELS", gap.replace(":0", ":1"))))), null));
+    }
+
     @Test
     void plannedWorkIsNamedBesideWhatItExplains(@TempDir final Path folder) throws Exception {
         final String down = "{\"Nodename\":\"e1\",\"Duty\":\"tide\",\"Az\":\"z\",\"Addr\":\"1\",\"Up\":false,\"Suspect\":false,\"Ready\":false}";
--- a/src/test/java/yewjunction/app/RehearsalTest.java
+++ b/src/test/java/yewjunction/app/RehearsalTest.java
@@ -22,6 +22,10 @@
         assertTrue(out.toString().contains("repo-1,tool-*"), out.toString());
         assertTrue(out.toString().contains("rehearsal: repo-1 no. 3"), out.toString());
         assertTrue(out.toString().contains("rehearsal: repo-2 no. 5"), out.toString());
+        // A dispatch behind the order change it follows, twice: live, and taken up by cursors.
+        assertTrue(out.toString().split("MSG dispatch.one ", -1).length == 3, out.toString());
+        // What went beyond the share was borrowed up to the limit, and shown.
+        assertTrue(out.toString().contains("REFUSE PUB rehearsal.rush") && out.toString().contains("\"Repaid\":3.0"), out.toString());
     }
 
     @Test
--- a/src/test/java/yewjunction/charter/CharterTest.java
+++ b/src/test/java/yewjunction/charter/CharterTest.java
@@ -1,13 +1,16 @@
 package yewjunction.charter;
 
+import com.typesafe.config.Config;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import yewjunction.base.Defect;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 class CharterTest {
     private static final String ROUTE = "{'Name':'r1','Host':'','Pfx':'a.','Type':'kept','TimeoutMs':1500,'LingerS':35.0,"
@@ -50,11 +53,53 @@
         "{'Ver':1,'Routes':[{'Name':'r','Pfx':'a','TimeoutMs':5,'Svc':'gone'}]}|CONFIG_SERVICE",
         "{'Ver':1,'Tenants':[{'Name':'t','Apikeys':['k']},{'Name':'u','Apikeys':['k']}]}|CONFIG_KEY",
         "{'Ver':1,'Routes':7}|CONFIG_FIELD",
+        "{'Ver':1,'Tenants':[{'Name':'t','RatePerS':3,'BorrowMax':-1}]}|CONFIG_FIELD",
+        "{'Ver':1,'Tenants':[{'Name':'t','RatePerS':3,'BorrowMax':2.5}]}|CONFIG_FIELD",
+        "{'Ver':1,'Tenants':[{'Name':'t','RatePerS':3,'BorrowMax':'5'}]}|CONFIG_FIELD",
+        "{'Ver':1,'Tenants':[{'Name':'t','RatePerS':3,'BorrowMax':null}]}|CONFIG_FIELD",
+        "{'Ver':1,'Tenants':[{'Name':'t','RatePerS':3,'BorrowMax':1e12}]}|CONFIG_FIELD",
+        "{'Ver':1,'Tenants':[{'Name':'t','BorrowMax':5}]}|CONFIG_FIELD",
+        "{'Ver':1,'Tenants':[{'Name':'t','RatePerS':3,'BorrowMax':5,'RepayShare':0}]}|CONFIG_FIELD",
+        "{'Ver':1,'Tenants':[{'Name':'t','RatePerS':3,'BorrowMax':5,'RepayShare':1.01}]}|CONFIG_FIELD",
+        "{'Ver':1,'Tenants':[{'Name':'t','RatePerS':3,'BorrowMax':5,'RepayShare':-0.5}]}|CONFIG_FIELD",
+        "{'Ver':1,'Tenants':[{'Name':'t','RatePerS':3,'BorrowMax':5,'RepayShare':[1]}]}|CONFIG_FIELD",
+        "{'Ver':1,'Routes':[{'Name':'r','Pfx':'a','TimeoutMs':5,'After':['none']}]}|CONFIG_FIELD",
+        "{'Ver':1,'Routes':[{'Name':'r','Pfx':'a','TimeoutMs':5,'After':['r']}]}|CONFIG_FIELD",
+        "{'Ver':1,'Routes':[{'Name':'r','Pfx':'a','TimeoutMs':5,'After':'r'}]}|CONFIG_FIELD",
+        "{'Ver':1,'Routes':[{'Name':'r','Pfx':'a','TimeoutMs':5,'After':[7]}]}|CONFIG_FIELD",
+        "{'Ver':1,'Routes':[{'Name':'r','Pfx':'a','TimeoutMs':5,'After':null}]}|CONFIG_FIELD",
     })
     void whatIsInvalidIsNamed(final String json, final String code) {
         assertEquals(code, assertThrows(Defect.class, () -> Charter.read(json.replace('\'', '"'))).code().name());
     }
 
+    @Test
+    void borrowingIsReadAndItsErrorsNameThePath() {
+        final Charter charter = Charter.read(json(ROUTE, "{'Name':'t','Apikeys':['k'],'RatePerS':3,'Burst':4,'BorrowMax':50},"
+            + "{'Name':'u','RatePerS':3,'BorrowMax':7,'RepayShare':1}, {'Name':'v','RatePerS':3}"));
+        assertEquals(50, charter.tenant("t").borrowMax());
+        assertEquals(500_000, charter.tenant("t").repayPpm());
+        assertEquals(1_000_000, charter.tenant("u").repayPpm());
+        assertEquals(0, charter.tenant("v").borrowMax());
+        final Defect defect = assertThrows(Defect.class, () -> Charter.read(json(ROUTE, "{'Name':'t','RatePerS':3,'BorrowMax':-1}")));
+        assertTrue(defect.getMessage().startsWith("Tenants.t.BorrowMax:"), defect.getMessage());
+        final Defect other = assertThrows(Defect.class, () -> Charter.read(json(ROUTE, "{'Name':'t','RatePerS':3,'BorrowMax':1,'RepayShare':2}")));
+        assertTrue(other.getMessage().startsWith("Tenants.t.RepayShare:"), other.getMessage());
+    }
+
+    @Test
+    void declaredOrderIsReadAndARouteThatOthersNameCannotGo() {
+        final String late = OTHER.replace("}", ",'After':['r1']}");
+        final Charter charter = Charter.read(json(ROUTE + "," + late, ""));
+        assertTrue(charter.space("a.b.x").follows(charter.space("a.x")));
+        assertFalse(charter.space("a.x").follows(charter.space("a.b.x")));
+        final Config update = Charter.parse("{\"Ver\":9,\"Del\":{\"Routes\":[\"r1\"]}}");
+        final Defect defect = assertThrows(Defect.class, () -> Charter.of(charter.updated(update)));
+        assertTrue(defect.getMessage().startsWith("Routes.r2.After:"), defect.getMessage());
+        // Each may name the other: one order across both.
+        Charter.read(json(ROUTE.replace("'Unknown'", "'After':['r2'],'Unknown'") + "," + late, ""));
+    }
+
     @Test
     void anUpdateReplacesAddsAndRemovesByName() {
         final Charter charter = Charter.read(json(ROUTE + "," + OTHER, "{'Name':'t','Apikeys':['k'],'RatePerS':3,'Burst':4}"));
--- /dev/null
+++ b/src/test/java/yewjunction/ledger/Histories.java
@@ -0,0 +1,30 @@
+package yewjunction.ledger;
+
+import java.util.Map;
+import java.util.TreeMap;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+
+/** Reads a log's entries from a member's disk, past all code that applies them. */
+public final class Histories {
+    private Histories() {
+    }
+
+    /** Adds what that disk holds up to an index; where two disks hold the same entry they must agree. */
+    public static void gather(final Disk disk, final String name, final long upTo, final Map<Long, byte[]> entries) {
+        final Archive archive = new Archive(new Shelf(disk, (blocking, afterwards) -> { }, name));
+        for (long index = archive.log.baseIndex() + 1; index <= Math.min(upTo, archive.log.lastIndex()); index++) {
+            final Entry entry = archive.log.get(index);
+            if (entry.kind == Entry.DATA) {
+                final byte[] known = entries.putIfAbsent(index, entry.data);
+                if (known != null) {
+                    assertArrayEquals(known, entry.data, "entry " + index);
+                }
+            }
+        }
+    }
+
+    public static Map<Long, byte[]> none() {
+        return new TreeMap<>();
+    }
+}
--- a/src/test/java/yewjunction/sim/Host.java
+++ b/src/test/java/yewjunction/sim/Host.java
@@ -14,6 +14,8 @@
     public SimDisk disk = new SimDisk();
     public long syncMicros = 2_000;
     SimPost post;
+    /** Sees each letter before it is taken, and may plant a fault in it. */
+    public java.util.function.Consumer<Object> tampering = letter -> { };
     private java.util.function.BiConsumer<String, Object> datagrams = (from, letter) -> { };
     private boolean up;
     private boolean dark;
--- a/src/test/java/yewjunction/sim/SimPost.java
+++ b/src/test/java/yewjunction/sim/SimPost.java
@@ -162,6 +162,7 @@
 
     private void take(final End end, final byte[] bytes) {
         final Object letter = codec.decode(bytes, 0, bytes.length);
+        host.tampering.accept(letter);
         final BiConsumer<Link, Object> handler = handlers.get(letter.getClass());
         if (handler != null) {
             handler.accept(end, letter);
--- a/src/test/java/yewjunction/system/Customer.java
+++ b/src/test/java/yewjunction/system/Customer.java
@@ -1,7 +1,6 @@
 package yewjunction.system;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -120,17 +119,19 @@
         subscribe(topic);
     }
 
-    void publish(final String topic) {
+    Judge.Sent publish(final String topic) {
         final long number = ++numbers;
         final Judge.Sent sent = judge.sent(name, topic, number, town.world.nowMs(), padding);
         open.put(number, sent);
         if (greeted && wire != null) {
             say(sent);
         }
+        return sent;
     }
 
     private void say(final Judge.Sent sent) {
         sent.tries++;
+        sent.saidMs = town.world.nowMs();
         wire.say("PUB " + sent.topic + " " + sent.number + " " + sent.body.length() + "\r\n" + sent.body + "\r\n");
     }
 
@@ -140,7 +141,7 @@
                 if (fields[1].equals("HELLO")) {
                     greeted = true;
                     new ArrayList<>(cursors.keySet()).forEach(this::subscribe);
-                    new HashMap<>(open).values().forEach(this::say);
+                    new ArrayList<>(open.values()).forEach(this::say);
                 } else if (fields[1].equals("SUB")) {
                     cursors.put(fields[2], fields[3]);
                     if (fields.length > 4) {
@@ -175,6 +176,7 @@
                 final Judge.Sent sent = open.remove(number);
                 if (sent != null) {
                     sent.denied = true;
+                    sent.deniedMs = town.world.nowMs();
                 }
             } else if (open.containsKey(number) && wire != null) {
                 say(open.get(number));
--- a/src/test/java/yewjunction/system/Judge.java
+++ b/src/test/java/yewjunction/system/Judge.java
@@ -31,6 +31,12 @@
     final List<String> revoked = new ArrayList<>();
     final Map<String, Long> newestDelivered = new HashMap<>();
     int deliveries;
+    /** All that clients saw, in the order in which each of them saw it. */
+    final List<Sight> sights = new ArrayList<>();
+
+    record Sight(String client, String topic, long position, String sender, long number) {
+    }
+
 
     /** One message under one number. */
     static final class Sent {
@@ -42,6 +48,9 @@
         int tries;
         boolean acked;
         boolean denied;
+        long deniedMs;
+        /** When it was last said, on which link. */
+        long saidMs;
     }
 
     /** One subscription. */
@@ -114,6 +123,7 @@
     void received(final String client, final String topic, final long position, final String sender, final long number,
             final String body) {
         deliveries++;
+        sights.add(new Sight(client, topic, position, sender, number));
         final Sent one = sent.get(body);
         assertNotNull(one, "a message that nobody sent: " + body);
         arrivals.add(new Arrival(client, one.firstMs, clock.getAsLong()));
--- a/src/test/java/yewjunction/system/SystemSimTest.java
+++ b/src/test/java/yewjunction/system/SystemSimTest.java
@@ -118,6 +118,23 @@
         settle();
     }
 
+    /** Many are denied by leaders that soon hand over, and their words come late: whoever is told RETRY, nobody gets it. */
+    @ParameterizedTest
+    @ValueSource(longs = {71, 72, 73, 74, 75, 76})
+    void aDenialThatComesLateBindsNobodyElse(final long seed) {
+        begin(seed, 8);
+        town.world.loss = 0.15;
+        for (int round = 0; round < 12; round++) {
+            final String lead = town.all("vault").stream().filter(vault -> town.world.host(vault).up()
+                && ((yewjunction.node.VaultNode) town.nodes.get(vault)).leads()).findFirst().orElse(town.all("vault").get(0));
+            town.stop(lead);
+            town.world.runFor(1_500);
+            town.bootAll();
+            town.world.runFor(700);
+        }
+        settle();
+    }
+
     @Test
     void aDrainedEdgeMovesItsClientsBeforeItEnds() {
         begin(6, 1_000);
