--- /dev/null
+++ b/src/test/java/yewjunction/capacity/ControlShapeTest.java
@@ -0,0 +1,40 @@
+package yewjunction.capacity;
+
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** What must not grow with the number of nodes: a mechanism that stops scaling fails here. */
+class ControlShapeTest {
+    /** Times; four times the nodes may cost this much more for each: timers that fall differently, and log terms. */
+    private static final double FLAT = 1.35;
+
+    private static Control control(final int edges) {
+        final Control control = new Control();
+        assertTrue(control.measure(edges, 5, 5), edges + " edges did not settle");
+        return control;
+    }
+
+    @Test
+    void controlCostsAnEdgeTheSameHoweverManyThereAre() {
+        final Control small = control(12);
+        final Control large = control(48);
+        for (final String name : new String[] {"edge: roster, letters/s a node, both ways", "edge: charter, letters/s a node, both ways",
+            "edge: charter, bytes/s a node, both ways", "change of the configuration: bytes an edge hears"}) {
+            final double before = small.figures.get(name);
+            final double after = large.figures.get(name);
+            assertTrue(before > 0 && after <= FLAT * before, name + ": " + before + " with 12 edges, " + after + " with 48");
+        }
+    }
+
+    @Test
+    void aStraightLineAndItsResidual() {
+        final Slope slope = Slope.through(java.util.List.of(new double[] {10, 120}, new double[] {20, 220}, new double[] {40, 420}));
+        assertEquals(10, slope.perUnit(), 1e-9);
+        assertEquals(20, slope.base(), 1e-9);
+        assertEquals(0, slope.worst(), 1e-9);
+        assertThrows(IllegalArgumentException.class, () -> Slope.through(java.util.List.of(new double[] {10})));
+    }
+}
--- /dev/null
+++ b/src/test/java/yewjunction/capacity/HollowClient.java
@@ -0,0 +1,71 @@
+package yewjunction.capacity;
+
+import java.nio.charset.StandardCharsets;
+import yewjunction.loom.Line;
+import yewjunction.loom.Outbox;
+
+/** A client at an edge of a fleet that only counts what it is sent. */
+final class HollowClient implements Line {
+    private final Fleet fleet;
+    private final Outbox out = new Outbox(256);
+    private final Line.Owner owner;
+    private boolean flushing;
+    long messages;
+    long bytes;
+    long acknowledged;
+
+    HollowClient(final Fleet fleet, final String edge, final String name) {
+        this.fleet = fleet;
+        owner = fleet.edge(edge).greet(this);
+        say("HELLO " + name + " key0\r\n");
+    }
+
+    void say(final String words) {
+        final byte[] said = words.getBytes(StandardCharsets.US_ASCII);
+        owner.take(said, said.length);
+    }
+
+    @Override
+    public Outbox out() {
+        if (!flushing) {
+            flushing = true;
+            fleet.world.after(0, () -> {
+                flushing = false;
+                final byte[] heard = out.take();
+                bytes += heard.length;
+                count(heard);
+            });
+        }
+        return out;
+    }
+
+    /** A line that begins so stands at the start, or behind an end of line. */
+    private void count(final byte[] heard) {
+        for (int at = 0; at + 3 < heard.length; at++) {
+            if (at == 0 || heard[at - 1] == '\n') {
+                messages += heard[at] == 'M' && heard[at + 1] == 'S' && heard[at + 2] == 'G' ? 1 : 0;
+                acknowledged += heard[at] == 'A' && heard[at + 1] == 'C' && heard[at + 2] == 'K' ? 1 : 0;
+            }
+        }
+    }
+
+    @Override
+    public int waiting() {
+        return out.size();
+    }
+
+    @Override
+    public void closeSoon() {
+        close();
+    }
+
+    @Override
+    public void close() {
+        throw new IllegalStateException("a hollow client was cut");
+    }
+
+    @Override
+    public boolean open() {
+        return true;
+    }
+}
--- a/src/test/java/yewjunction/sim/Host.java
+++ b/src/test/java/yewjunction/sim/Host.java
@@ -131,12 +131,18 @@
     public void datagram(final String to, final Object letter) {
         final Codec codec = post.codec;
         final byte[] bytes = codec.encode(letter);
+        if (world.meter != null) {
+            world.meter.sent(address, letter, bytes.length);
+        }
         final Host target = world.known(to);
         if (target == null || world.luck.nextDouble() < world.loss || world.parted(address, to)) {
             return;
         }
         world.afterMicros(400 + world.luck.nextInt(1_000), () -> {
             if (target.up) {
+                if (world.meter != null) {
+                    world.meter.taken(to, letter, bytes.length);
+                }
                 target.datagrams.accept(address, codec.decode(bytes, 0, bytes.length));
             }
         });
--- /dev/null
+++ b/src/test/java/yewjunction/sim/Meter.java
@@ -0,0 +1,44 @@
+package yewjunction.sim;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Counts what processes say to one another: letters and their bytes, without the headers of the network below. */
+public final class Meter {
+    /** By process, then by kind of letter: count and bytes sent, count and bytes taken. */
+    private final Map<String, Map<String, long[]>> rows = new HashMap<>();
+
+    void sent(final String from, final Object letter, final int bytes) {
+        add(from, letter, 0, bytes);
+    }
+
+    void taken(final String by, final Object letter, final int bytes) {
+        add(by, letter, 2, bytes);
+    }
+
+    private void add(final String address, final Object letter, final int at, final int bytes) {
+        final Class<?> kind = letter.getClass();
+        final String layer = kind.getPackageName().substring(kind.getPackageName().lastIndexOf('.') + 1);
+        final long[] row = rows.computeIfAbsent(address, key -> new TreeMap<>()).computeIfAbsent(layer + "." + kind.getSimpleName(), key -> new long[4]);
+        row[at]++;
+        row[at + 1] += bytes;
+    }
+
+    public void reset() {
+        rows.clear();
+    }
+
+    /** Count and bytes sent, count and bytes taken by one process, of the letters whose kind begins so. */
+    public long[] of(final String address, final String kinds) {
+        final long[] sum = new long[4];
+        rows.getOrDefault(address, Map.of()).forEach((kind, row) -> {
+            if (kind.startsWith(kinds)) {
+                for (int i = 0; i < 4; i++) {
+                    sum[i] += row[i];
+                }
+            }
+        });
+        return sum;
+    }
+}
--- a/src/test/java/yewjunction/sim/SimPost.java
+++ b/src/test/java/yewjunction/sim/SimPost.java
@@ -55,6 +55,9 @@
                 return false;
             }
             final byte[] bytes = owner.codec.encode(letter);
+            if (owner.host.world.meter != null) {
+                owner.host.world.meter.sent(owner.host.address, letter, bytes.length);
+            }
             if (connected) {
                 carry(bytes);
             } else {
@@ -163,6 +166,9 @@
     private void take(final End end, final byte[] bytes) {
         final Object letter = codec.decode(bytes, 0, bytes.length);
         host.tampering.accept(letter);
+        if (host.world.meter != null) {
+            host.world.meter.taken(host.address, letter, bytes.length);
+        }
         final BiConsumer<Link, Object> handler = handlers.get(letter.getClass());
         if (handler != null) {
             handler.accept(end, letter);
--- a/src/test/java/yewjunction/sim/World.java
+++ b/src/test/java/yewjunction/sim/World.java
@@ -22,6 +22,8 @@
     private long dragMicros;
     /** Share of datagrams lost, and of TCP pieces that need to be sent again. */
     public double loss = 0.01;
+    /** Counts all letters; null for nobody. */
+    public Meter meter;
 
     private record Happening(long atMicros, long order, Runnable task) implements Comparable<Happening> {
         @Override
--- a/src/test/java/yewjunction/system/Town.java
+++ b/src/test/java/yewjunction/system/Town.java
@@ -11,12 +11,10 @@
 import yewjunction.node.CruxNode;
 import yewjunction.node.EdgeNode;
 import yewjunction.node.Node;
-import yewjunction.node.VaultNode;
 import yewjunction.roster.Roster;
-import yewjunction.roster.Sibling;
 import yewjunction.settings.Settings;
 import yewjunction.sim.Host;
-import yewjunction.sim.SimPost;
+import yewjunction.sim.Machines;
 import yewjunction.sim.World;
 
 /** A whole system on simulated machines: three zones with a crux, two tides and a vault each. */
@@ -54,30 +52,14 @@
 
     void boot(final String address, final boolean founding) {
         final Host host = world.host(address);
-        final SimPost post = host.boot();
         final long life = ++lives;
         final String ip = address.substring(0, address.indexOf(':'));
         final String duty = duty(address);
         final Settings settings = new Settings("node-" + address, duty, List.of(duty), ip, zone(address), ip + ":8022",
             ip + ":8029", ip + ":8024", PORT, PORT + 15, seeds, founding, "/data", 1, 2, 5, 0.1, 20, 64);
-        final Sibling self = new Sibling();
-        self.address = address;
-        self.node = settings.node();
-        self.zone = settings.zone();
-        self.duty = duty;
-        self.front = duty.equals("tide") ? settings.front() : "";
-        self.life = life;
-        final Roster roster = new Roster(host, self, host::datagram);
-        host.onDatagram(roster::take);
-        final Node node = switch (duty) {
-            case "crux" -> new CruxNode(host, post, host.disk, host.clerk(), roster, settings, life);
-            case "vault" -> new VaultNode(host, post, host.disk, host.clerk(), roster, settings, life);
-            default -> new EdgeNode(host, post, roster, settings, life);
-        };
-        nodes.put(address, node);
-        rosters.put(address, roster);
-        roster.start(settings.coreAddresses());
-        node.start();
+        final Machines.Running running = Machines.boot(host, settings, duty, life);
+        nodes.put(address, running.node());
+        rosters.put(address, running.roster());
     }
 
     void bootAll() {
