--- a/src/main/java/yewjunction/roster/Roster.java
+++ b/src/main/java/yewjunction/roster/Roster.java
@@ -12,6 +12,7 @@
 import java.util.function.Function;
 import yewjunction.base.Event;
 import yewjunction.base.Pulse;
+import yewjunction.roster.Letters.Crew;
 import yewjunction.roster.Letters.Echo;
 import yewjunction.roster.Letters.Hail;
 import yewjunction.roster.Letters.Letter;
@@ -194,8 +195,9 @@
             return;
         }
         final long numberBefore = self.number;
-        hear(letter.self);
-        letter.news.forEach(this::hear);
+        hear(letter.self, true);
+        // Whoever asks a seed hears all of it: passing that on would cost each of a hundred that start together as many times.
+        letter.news.forEach(news -> hear(news, !(letter instanceof Crew)));
         if (self.number != numberBefore) {
             // A refutation goes straight back to whoever doubted.
             send(from, new Echo());
@@ -207,7 +209,7 @@
         }
     }
 
-    private void hear(final Sibling news) {
+    private void hear(final Sibling news, final boolean passedOn) {
         if (news.address.equals(self.address)) {
             // News of an earlier life, or a suspicion: refuted by a higher number.
             if (!left && news.number >= self.number && (news.life != self.life || news.standing != Sibling.UP)) {
@@ -221,7 +223,9 @@
             if (news.up()) {
                 siblings.put(news.address, news);
                 changedMs.put(news.address, pulse.nowMs());
-                tell(news.address);
+                if (passedOn) {
+                    tell(news.address);
+                }
                 Event.SIBLING_JOINED.info(news.node + " " + news.duty);
             }
         } else if (news.over(known)) {
