Entries cross to a zone once; identities are said once on a link; hails stay in the zone

Now the leader serves one member a zone, which hands committed entries on; commit notices wait 5 ms for entries to ride on; a link's letters name both ends once.

--- a/src/main/java/yewjunction/base/Limits.java
+++ b/src/main/java/yewjunction/base/Limits.java
@@ -18,10 +18,8 @@
     /** bytes; first size of a buffer of a sibling link: most letters fit. */
     public static final int LINK_BUFFER_BYTES = 4 << 10;
     // --- clients ---
-    /** bytes; body of a message at most (protocol). */
-    public static final int BODY_BYTES = 16 << 10;
-    /** bytes; body of a message at least (protocol). */
-    public static final int BODY_LEAST_BYTES = 20;
+    /** bytes; body of a message at most and at least (protocol). */
+    public static final int BODY_BYTES = 16 << 10, BODY_LEAST_BYTES = 20;
     /** bytes; a head line of words and fields at most: far above any name in use. */
     public static final int HEAD_BYTES = 2 << 10;
     /** bytes; what may wait for a client that reads slowly; it can take up its cursors again. */
@@ -61,10 +59,8 @@
     /** ms; pace of asking whether this edge is ready, well below the platform's own pace of a second. */
     public static final long READY_LOOK_MS = 100;
     // --- filters and catching up ---
-    /** count; patterns of a filter at most. */
-    public static final int FILTER_PATTERNS = 64;
-    /** bytes; a filter at most: with its topic and cursor it stays inside a head line. */
-    public static final int FILTER_BYTES = 1 << 10;
+    /** count and bytes; patterns of a filter, and a filter, at most: with its topic and cursor it stays inside a head line. */
+    public static final int FILTER_PATTERNS = 64, FILTER_BYTES = 1 << 10;
     /** ms; pace of renewing a filtered subscription's cursor while unwanted messages pass; at most a quarter of LingerS. */
     public static final long RENEW_MS = 5_000;
     /** bytes; what each tenant may write of older messages in one turn, and what needs no turns at all. */
@@ -93,10 +89,8 @@
     /** count; channels whose breaks are counted apart. */
     public static final int DISORDER_CHANNELS = 100;
     // --- drain ---
-    /** ms; links are moved over this span, so that the other edges take them one by one. */
-    public static final long MOVE_SPAN_MS = 1_200;
-    /** ms; step of the moving. */
-    public static final long MOVE_STEP_MS = 50;
+    /** ms; links are moved over this span, in steps, so that the other edges take them one by one. */
+    public static final long MOVE_SPAN_MS = 1_200, MOVE_STEP_MS = 50;
     /** ms; a draining edge ends by then, inside the platform's grace. */
     public static final long DRAIN_MS = 3_000;
     // --- roster ---
@@ -120,8 +114,9 @@
     public static final int CREW_PER_LETTER = 24;
     /** ms; pace of asking the seeds until one answers; from then on three times slower each time. */
     public static final long JOIN_MS = 300;
-    /** ms; the slowest pace of asking a seed again: heals a roster that split. */
+    /** ms; the slowest pace of asking again, and how many of these questions go to one seed: heals a roster that split. */
     public static final long REJOIN_MS = 10_000;
+    public static final int HAIL_SEED_EVERY = 6;
     // --- ledger ---
     /** ms; beat of a leader. */
     public static final long BEAT_MS = 100;
@@ -137,10 +132,8 @@
     public static final double LATE_WEIGHT = 0.05;
     /** ms; a leader leads at least this long before it hands over for that: no ping-pong where all links are slow. */
     public static final long LATE_REST_MS = 3_000;
-    /** entries; one append letter at most. */
-    public static final int APPEND_ENTRIES = 256;
-    /** bytes; one append letter at most. */
-    public static final int APPEND_BYTES = 512 << 10;
+    /** entries and bytes; one append letter at most. */
+    public static final int APPEND_ENTRIES = 256, APPEND_BYTES = 512 << 10;
     /** ms; unanswered appends are sent again after this. */
     public static final long APPEND_AGAIN_MS = 400;
     /** bytes; a ledger file longer than this is rewritten. */
@@ -149,6 +142,12 @@
     public static final int LEDGER_TAIL_ENTRIES = 2_000, LEDGER_TAIL_BYTES = 2 << 20;
     /** bytes; one piece of a snapshot: below what holds up a beat on a slow link. */
     public static final int IMAGE_PIECE_BYTES = 128 << 10;
+    /** ms; a commit waits so long for entries to ride on: a twentieth of the shortest aim. */
+    public static final long COMMIT_WORD_MS = 5;
+    /** ms; how often a leader tells a member that another one serves, and how often that one asks again without an answer. */
+    public static final long RELAY_BEAT_MS = 200, RELAY_AGAIN_MS = 500;
+    /** entries; a member further behind is brought up by the leader itself. */
+    public static final int RELAY_ENTRIES = 500;
     /** ms; a leader that stops hands over within this. */
     public static final long HAND_OVER_MS = 700;
     /** entries; a newcomer this close to the end may become a voter. */
--- a/src/main/java/yewjunction/ledger/Course.java
+++ b/src/main/java/yewjunction/ledger/Course.java
@@ -136,6 +136,7 @@
         if (ledger.leadsTerm()) {
             ledger.leading.advanced();
         }
+        ledger.relay.committed();
         machine.settled(commit);
         shorten();
     }
--- a/src/main/java/yewjunction/ledger/Election.java
+++ b/src/main/java/yewjunction/ledger/Election.java
@@ -99,8 +99,8 @@
                 ask.handedOver = handedOver;
                 ask.lastIndex = ledger.log.lastIndex();
                 ask.lastTerm = ledger.log.lastTerm();
-                ledger.post.dial(Ledger.address(voter))
-                    .send(Ledger.withTerm(ledger.addressed(ask, voter), ledger.archive.term + (pre ? 1 : 0)));
+                ledger.introductions.send(ledger.post.dial(Ledger.address(voter)),
+                    Letters.withTerm(ledger.addressed(ask, voter), ledger.archive.term + (pre ? 1 : 0)));
             }
         }
     }
--- a/src/main/java/yewjunction/ledger/Electorate.java
+++ b/src/main/java/yewjunction/ledger/Electorate.java
@@ -13,6 +13,7 @@
 import static yewjunction.base.Limits.CAUGHT_UP_ENTRIES;
 import static yewjunction.base.Limits.ELECT_MOST_MS;
 import static yewjunction.base.Limits.HAND_OVER_MS;
+import static yewjunction.base.Limits.RELAY_ENTRIES;
 import static yewjunction.base.Limits.VOTER_SILENT_MS;
 
 /** Who votes, and who leads next: a leader changes voters one at a time and hands over before it stops. */
@@ -105,6 +106,32 @@
             .orElse(null);
     }
 
+    /** Who hands committed entries on to each member without a vote inside its zone; null for whom the leader serves itself. */
+    void relays(final long nowMs) {
+        final List<String> voters = ledger.voters();
+        // While a seat is to be filled, candidates are brought to the very end.
+        final boolean seated = staying(voters) >= seating.seats() && voters.stream().allMatch(voter -> voter.equals(ledger.identity())
+            || nowMs - leading.standing(voter).heardMs < APPEND_AGAIN_MS && !leading.standing(voter).lags(nowMs));
+        leading.standings.forEach((identity, standing) -> standing.relay = seated && !voters.contains(identity)
+            && standing.match + RELAY_ENTRIES >= ledger.commit() && ledger.log.termAt(standing.match) >= 0 && !standing.lags(nowMs)
+            ? relay(Ledger.address(identity), voters) : null);
+    }
+
+    private String relay(final String address, final List<String> voters) {
+        final String zone = seating.zoneOf().apply(address);
+        if (zone.isEmpty()) {
+            return null;
+        }
+        final List<String> near = new ArrayList<>(voters);
+        near.removeIf(voter -> !seating.zoneOf().apply(Ledger.address(voter)).equals(zone));
+        if (near.isEmpty()) {
+            // No voter there: the first of the others is served from here and serves the rest.
+            leading.standings.keySet().stream().filter(one -> seating.zoneOf().apply(Ledger.address(one)).equals(zone)).forEach(near::add);
+        }
+        final String first = near.stream().map(Ledger::address).min(Comparator.naturalOrder()).orElse(address);
+        return first.equals(address) ? null : first;
+    }
+
     private long votersLike(final List<String> voters, final String identity) {
         final String address = Ledger.address(identity);
         if (voters.stream().anyMatch(voter -> Ledger.address(voter).equals(address))) {
--- a/src/main/java/yewjunction/ledger/Following.java
+++ b/src/main/java/yewjunction/ledger/Following.java
@@ -26,7 +26,7 @@
     void join(final String siblingAddress, final boolean wantsVote) {
         final Join join = ledger.addressed(new Join(), null);
         join.wantsVote = wantsVote;
-        ledger.post.dial(siblingAddress).send(join);
+        ledger.introductions.send(ledger.post.dial(siblingAddress), join);
     }
 
     void ask(final Link link, final Ask ask) {
@@ -55,10 +55,10 @@
     }
 
     private void answer(final Link link, final Ask ask, final boolean granted, final long term) {
-        final AskAnswer answer = Ledger.withTerm(ledger.addressed(new AskAnswer(), ask.from), term);
+        final AskAnswer answer = Letters.withTerm(ledger.addressed(new AskAnswer(), ask.from), term);
         answer.pre = ask.pre;
         answer.granted = granted;
-        link.send(answer);
+        ledger.introductions.send(link, answer);
     }
 
     /** True when the letter comes from the leader of the current term. */
@@ -82,6 +82,7 @@
             return;
         }
         ledger.heardOn(link);
+        ledger.relay.source(append.relay);
         final boolean behindBase = append.prevIndex < log.baseIndex();
         if (!behindBase && log.termAt(append.prevIndex) != append.prevTerm) {
             answer(link, append, false, Math.min(log.lastIndex(), append.prevIndex - 1));
@@ -102,8 +103,10 @@
             fresh.add(entry);
         }
         ledger.course.write(fresh);
-        final long match = Math.max(append.prevIndex + append.entries.size(), log.baseIndex());
+        long match = Math.max(append.prevIndex + append.entries.size(), log.baseIndex());
         ledger.course.commitTo(Math.min(append.commit, match));
+        // What was committed here on another's word the leader has, too: so it hears how far a relayed member is.
+        match = append.relay == null ? match : Math.max(match, ledger.commit());
         if (append.quiet && append.entries.isEmpty()) {
             return;
         }
@@ -137,7 +140,7 @@
         answer.accepted = accepted;
         answer.match = match;
         answer.round = append.round;
-        link.send(answer);
+        ledger.introductions.send(link, answer);
     }
 
     void image(final Link link, final Image image) {
--- a/src/main/java/yewjunction/ledger/Leading.java
+++ b/src/main/java/yewjunction/ledger/Leading.java
@@ -11,6 +11,7 @@
 import static yewjunction.base.Limits.APPEND_BYTES;
 import static yewjunction.base.Limits.APPEND_ENTRIES;
 import static yewjunction.base.Limits.BEAT_MS;
+import static yewjunction.base.Limits.COMMIT_WORD_MS;
 import static yewjunction.base.Limits.DISK_DRAGS_MS;
 import static yewjunction.base.Limits.ELECT_MOST_MS;
 
@@ -28,6 +29,9 @@
     /** The next letters ask for an answer: a beat, or a question whether this member still leads. */
     private boolean wanted;
     private boolean announced;
+    private boolean telling;
+    /** The commit that all have been told. */
+    private long toldCommit;
 
     Leading(final Ledger ledger) {
         this.ledger = ledger;
@@ -44,9 +48,7 @@
         tempo.reset();
         images.drop();
         announced = false;
-        for (final String voter : ledger.voters()) {
-            standing(voter);
-        }
+        ledger.voters().forEach(this::standing);
         firstIndex = ledger.log.lastIndex() + 1;
         append(Entry.NOTHING, new byte[0]);
         beat(era);
@@ -90,6 +92,7 @@
             return;
         }
         tempo.beat(rounds.next());
+        electorate.relays(nowMs);
         wanted = true;
         sendAll();
         electorate.settle();
@@ -117,8 +120,22 @@
         }
     }
 
+    /** Rides on the next entries where some follow at once; alone it is a letter to everyone, across zones. */
+    private void tellCommit() {
+        if (!telling) {
+            telling = true;
+            ledger.pulse.after(COMMIT_WORD_MS, () -> {
+                telling = false;
+                if (toldCommit < ledger.commit()) {
+                    sendAll();
+                }
+            });
+        }
+    }
+
     private void sendAll() {
         if (ledger.leadsTerm()) {
+            toldCommit = ledger.commit();
             for (final Map.Entry<String, Standing> one : List.copyOf(standings.entrySet())) {
                 if (!self(one.getKey())) {
                     send(one.getKey(), one.getValue());
@@ -132,6 +149,10 @@
     private void send(final String identity, final Standing standing) {
         final long nowMs = ledger.pulse.nowMs();
         final Log log = ledger.log;
+        if (standing.relay != null) {
+            ledger.relay.tell(identity, standing, rounds.newest());
+            return;
+        }
         final boolean silent = nowMs - standing.heardMs > APPEND_AGAIN_MS;
         // A newcomer with nothing also needs to learn who votes, which only a snapshot tells.
         if (standing.next <= log.baseIndex() || standing.next == 1 && !ledger.voters().contains(identity)) {
@@ -195,7 +216,7 @@
         // Only entries of the own term are counted; older ones are committed along with them.
         if (majority > ledger.commit() && ledger.log.termAt(majority) == ledger.archive.term) {
             ledger.course.commitTo(majority);
-            sendSoon();
+            tellCommit();
         }
     }
 
--- a/src/main/java/yewjunction/ledger/Ledger.java
+++ b/src/main/java/yewjunction/ledger/Ledger.java
@@ -24,6 +24,8 @@
     final Following following;
     private final Election election;
     final Course course;
+    final Introductions introductions;
+    final Relay relay;
     private Role role = Role.FOLLOWS;
     private String leaderIdentity;
     private Link leaderLink;
@@ -38,6 +40,8 @@
         this.machine = machine;
         archive = new Archive(new Shelf(disk, clerk, name));
         log = archive.log;
+        introductions = new Introductions(this);
+        relay = new Relay(this);
         leading = new Leading(this);
         following = new Following(this);
         election = new Election(this);
@@ -141,10 +145,6 @@
         return leading.electorate;
     }
 
-    public void learn(final String identity, final boolean wantsVote) {
-        leading.learn(identity, wantsVote);
-    }
-
     /** Asks whoever leads to bring this member up to date. */
     public void join(final String siblingAddress, final boolean wantsVote) {
         following.join(siblingAddress, wantsVote);
@@ -164,12 +164,7 @@
     }
 
     void sendTo(final String identity, final Letters.Letter letter) {
-        post.dial(address(identity)).send(addressed(letter, identity));
-    }
-
-    static <T extends Letters.Letter> T withTerm(final T letter, final long term) {
-        letter.term = term;
-        return letter;
+        introductions.send(post.dial(address(identity)), addressed(letter, identity));
     }
 
     void restartClock() {
@@ -191,6 +186,8 @@
     }
 
     void closed(final Link link) {
+        introductions.closed(link);
+        relay.closed(link);
         if (link == leaderLink && role == Role.FOLLOWS && !stopped) {
             leaderLink = null;
             heardMs = pulse.nowMs() - ELECT_LEAST_MS;
--- a/src/main/java/yewjunction/ledger/Letters.java
+++ b/src/main/java/yewjunction/ledger/Letters.java
@@ -12,18 +12,24 @@
     public static void know(final Codec codec) {
         codec.know(10, Ask.class).know(11, AskAnswer.class).know(12, Append.class).know(13, AppendAnswer.class)
             .know(14, Image.class).know(15, HandOver.class).know(16, Join.class)
-            .know(17, ImageAnswer.class);
+            .know(17, ImageAnswer.class).know(18, Fetch.class).know(19, Fetched.class);
     }
 
     /** Common to all: the group, who speaks, to whom, in which term. */
     abstract static class Letter {
         int group;
+        /** Null, and nobody named as receiver, where the link's earlier letters said both. */
         String from;
         /** The receiver's identity, shortened: it only checks that the letter is for it, and most letters cross zones. */
         long to;
         long term;
     }
 
+    static <T extends Letter> T withTerm(final T letter, final long term) {
+        letter.term = term;
+        return letter;
+    }
+
     /** 0 stands for anyone. */
     static long shortened(final String identity) {
         long hash = 0xcbf29ce484222325L;
@@ -54,6 +60,20 @@
         /** No answer is needed when all is as the leader thinks. */
         boolean quiet;
         List<Entry> entries = new ArrayList<>();
+        /** Where the receiver fetches committed entries; null for one whom the leader serves itself. */
+        String relay;
+    }
+
+    /** A member without a vote asks one of its zone for what is committed behind its own end. */
+    static final class Fetch extends Letter {
+        long next;
+        long lastTerm;
+    }
+
+    static final class Fetched extends Letter {
+        long prevIndex;
+        long prevTerm;
+        List<Entry> entries = new ArrayList<>();
     }
 
     static final class AppendAnswer extends Letter {
--- a/src/main/java/yewjunction/ledger/Mail.java
+++ b/src/main/java/yewjunction/ledger/Mail.java
@@ -6,6 +6,8 @@
 import yewjunction.ledger.Letters.AppendAnswer;
 import yewjunction.ledger.Letters.Ask;
 import yewjunction.ledger.Letters.AskAnswer;
+import yewjunction.ledger.Letters.Fetch;
+import yewjunction.ledger.Letters.Fetched;
 import yewjunction.ledger.Letters.HandOver;
 import yewjunction.ledger.Letters.Image;
 import yewjunction.ledger.Letters.ImageAnswer;
@@ -27,6 +29,8 @@
 
     void listen() {
         ledger.post.onClose(ledger::closed);
+        on(Fetch.class, ledger.relay::asked);
+        on(Fetched.class, (link, fetched) -> ledger.relay.taken(fetched));
         on(Ask.class, following::ask);
         on(AskAnswer.class, (link, answer) -> election.granted(answer));
         on(Append.class, following::append);
@@ -46,7 +50,7 @@
         ledger.post.on(kind, (link, letter) -> {
             // Another group, or an identity whose disk is gone: not for this member.
             final boolean forThis = letter.group == ledger.group && ledger.identity() != null
-                && (letter.to == 0 || letter.to == Letters.shortened(ledger.identity()));
+                && ledger.introductions.heard(link, letter);
             if (forThis && !ledger.stopped()) {
                 handler.accept(link, letter);
             }
--- a/src/main/java/yewjunction/ledger/Standing.java
+++ b/src/main/java/yewjunction/ledger/Standing.java
@@ -11,6 +11,9 @@
     long sentMs;
     double late;
     boolean wantsVote;
+    /** Who hands entries on to it inside its zone, null while the leader does; and when it was told so last. */
+    String relay;
+    long relayToldMs;
     /** What was committed when this was last looked at, and since when the sibling has not taken it. */
     private long goal;
     private long goalMs;
--- a/src/main/java/yewjunction/node/VaultNode.java
+++ b/src/main/java/yewjunction/node/VaultNode.java
@@ -87,7 +87,8 @@
         if (!tenure.facts().vaults().isEmpty() && (!voters.contains(ledger.identity()) || ledger.leaderless())) {
             // Whether there is a seat is the leader's matter.
             final boolean wanted = !tenure.facts().retiringAddresses().contains(address);
-            Node.addresses(roster, "vault").forEach(sibling -> ledger.join(sibling, wanted));
+            final List<String> asked = ledger.leader() == null ? Node.addresses(roster, "vault") : List.of(Ledger.address(ledger.leader()));
+            asked.forEach(sibling -> ledger.join(sibling, wanted));
         }
         if (ledger.leads()) {
             gate.lending().look(tenure.charter());
--- a/src/main/java/yewjunction/roster/Hailer.java
+++ b/src/main/java/yewjunction/roster/Hailer.java
@@ -7,6 +7,7 @@
 import yewjunction.roster.Letters.Hail;
 
 import static yewjunction.base.Limits.CREW_PER_LETTER;
+import static yewjunction.base.Limits.HAIL_SEED_EVERY;
 import static yewjunction.base.Limits.JOIN_MS;
 import static yewjunction.base.Limits.REJOIN_MS;
 
@@ -16,6 +17,7 @@
     private final Roster roster;
     private List<String> seeds = List.of();
     private long paceMs = JOIN_MS;
+    private int hails;
 
     Hailer(final Pulse pulse, final Roster roster) {
         this.pulse = pulse;
@@ -36,6 +38,15 @@
         }
         final List<String> others = new ArrayList<>(seeds);
         others.remove(roster.self().address);
+        // Once others are known one of the own zone knows as much, and its bytes cost nothing; the seeds now and then.
+        if (++hails % HAIL_SEED_EVERY != 0) {
+            final List<String> near = roster.all().stream().filter(sibling -> sibling.up() && !sibling.duty.equals("tide")
+                && sibling.zone.equals(roster.self().zone)).map(sibling -> sibling.address).sorted().toList();
+            if (!near.isEmpty()) {
+                others.clear();
+                others.addAll(near);
+            }
+        }
         if (!others.isEmpty()) {
             final Hail hail = new Hail();
             hail.digest = digest();
