Counts across zones: each home tells of its own edges alone; hails go to a seed by chance

Cause: with clients that come and go every part of the set changes every second, and each home fetched all that differed from each other home, third parties' parts too, from both sides.

--- a/src/main/java/yewjunction/herald/Envoy.java
+++ b/src/main/java/yewjunction/herald/Envoy.java
@@ -65,7 +65,7 @@
         this.node = node;
         this.vaults = vaults;
         this.watcher = watcher;
-        shuttle = new Shuttle(pulse, post, weave, changed);
+        shuttle = new Shuttle(pulse, post, weave, () -> List.of(weave.self()), changed);
         weft = new Weft(pulse, post, weave, shuttle, () -> welcomed ? home : null, changed);
         homelessMs = pulse.nowMs();
         post.on(Welcome.class, this::welcome);
--- a/src/main/java/yewjunction/herald/Letters.java
+++ b/src/main/java/yewjunction/herald/Letters.java
@@ -86,6 +86,8 @@
         int mostCells;
         /** Whether the sender answers in kind. */
         boolean mutual;
+        /** Only the parts of the receiver's own edges are asked for: others have theirs from elsewhere. */
+        Boolean own;
     }
 
     /** The answer to a gauge: parts that differ, and which of the asker's are wanted. */
--- a/src/main/java/yewjunction/herald/Shuttle.java
+++ b/src/main/java/yewjunction/herald/Shuttle.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.List;
+import java.util.function.Supplier;
 import yewjunction.base.Link;
 import yewjunction.base.Post;
 import yewjunction.base.Pulse;
@@ -19,9 +20,11 @@
 final class Shuttle {
     private final Pulse pulse;
     private final Weave weave;
+    private final Supplier<Collection<Long>> own;
 
-    /** Changed: something may have been merged. */
-    Shuttle(final Pulse pulse, final Post post, final Weave weave, final Runnable changed) {
+    /** Own: the replicas that this process hears of first. Changed: something may have been merged. */
+    Shuttle(final Pulse pulse, final Post post, final Weave weave, final Supplier<Collection<Long>> own, final Runnable changed) {
+        this.own = own;
         this.pulse = pulse;
         this.weave = weave;
         post.on(Gauge.class, this::gauge);
@@ -43,16 +46,29 @@
 
     /** Asks for what differs there; with mutual set, what differs here is given too. */
     void compare(final Link link, final int mostCells, final boolean mutual) {
+        link.send(gauge(mostCells, mutual));
+    }
+
+    /** Asks for the parts of that home's own edges, where they differ. */
+    void compareOwn(final Link link) {
+        final Gauge gauge = gauge(GAUGE_CELLS, false);
+        gauge.own = true;
+        link.send(gauge);
+    }
+
+    private Gauge gauge(final int mostCells, final boolean mutual) {
         final Gauge gauge = new Gauge();
         gauge.marks = weave.marks();
         gauge.mostCells = mostCells;
         gauge.mutual = mutual;
-        link.send(gauge);
+        return gauge;
     }
 
     private void gauge(final Link link, final Gauge gauge) {
         final Match match = new Match();
-        match.state = weave.state(weave.news(gauge.marks, Math.min(gauge.mostCells, GAUGE_CELLS), pulse.luck()));
+        final int mostCells = Math.min(gauge.mostCells, GAUGE_CELLS);
+        match.state = weave.state(gauge.own == null ? weave.news(gauge.marks, mostCells, pulse.luck())
+            : weave.newsOf(own.get(), gauge.marks, mostCells, pulse.luck()));
         match.wanted = gauge.mutual ? weave.wanted(gauge.marks) : List.of();
         link.send(match);
     }
--- a/src/main/java/yewjunction/herald/Warp.java
+++ b/src/main/java/yewjunction/herald/Warp.java
@@ -45,7 +45,7 @@
         this.roster = roster;
         this.home = home;
         this.live = live;
-        shuttle = new Shuttle(pulse, post, weave, () -> { });
+        shuttle = new Shuttle(pulse, post, weave, () -> home.edges().values(), () -> { });
         post.on(Cloth.class, (link, cloth) -> {
             weave.receive(cloth.state);
             if (cloth.mark != 0) {
@@ -81,7 +81,10 @@
         }
     }
 
-    /** Inside the zone with one other home a round; across zones seldom, unless somebody asks for counts. */
+    /**
+     * Inside the zone with one other home a round. Across zones, where bytes are dear, seldom; while somebody asks for
+     * counts each home tells of its own edges, and no more: with clients coming and going every part changes every second.
+     */
     private void compare() {
         final Map<String, Sibling> partners = new HashMap<>();
         final List<Sibling> homes = roster.up("vault");
@@ -91,14 +94,16 @@
                 partners.putIfAbsent(sibling.zone, sibling);
             }
         }
-        final boolean counting = pulse.nowMs() - countingMs < COUNTING_MS;
-        final boolean across = rounds % (counting ? GOSSIP_ACROSS_COUNTING : GOSSIP_ACROSS_EVERY) == 0;
+        final boolean across = rounds % GOSSIP_ACROSS_EVERY == 0;
         partners.forEach((zone, sibling) -> {
-            // Both sides give and take, so one of them asks: whoever has the need, or else the first by address.
-            final boolean asks = counting || roster.self().address.compareTo(sibling.address) < 0;
-            if (zone.equals(roster.self().zone) || across && asks) {
+            // Both sides give and take, so one of them asks: the first by address.
+            if (zone.equals(roster.self().zone) || across && roster.self().address.compareTo(sibling.address) < 0) {
                 shuttle.compare(post.dial(sibling.address), GAUGE_CELLS, true);
             }
         });
+        if (pulse.nowMs() - countingMs < COUNTING_MS && rounds % GOSSIP_ACROSS_COUNTING == 0) {
+            homes.stream().filter(sibling -> sibling.ready && !sibling.zone.equals(roster.self().zone))
+                .forEach(sibling -> shuttle.compareOwn(post.dial(sibling.address)));
+        }
     }
 }
--- a/src/main/java/yewjunction/roster/Hailer.java
+++ b/src/main/java/yewjunction/roster/Hailer.java
@@ -17,7 +17,6 @@
     private final Roster roster;
     private List<String> seeds = List.of();
     private long paceMs = JOIN_MS;
-    private int hails;
 
     Hailer(final Pulse pulse, final Roster roster) {
         this.pulse = pulse;
@@ -39,7 +38,7 @@
         final List<String> others = new ArrayList<>(seeds);
         others.remove(roster.self().address);
         // Once others are known one of the own zone knows as much, and its bytes cost nothing; the seeds now and then.
-        if (++hails % HAIL_SEED_EVERY != 0) {
+        if (pulse.luck().nextInt(HAIL_SEED_EVERY) > 0) {
             final List<String> near = roster.all().stream().filter(sibling -> sibling.up() && !sibling.duty.equals("tide")
                 && sibling.zone.equals(roster.self().zone)).map(sibling -> sibling.address).sorted().toList();
             if (!near.isEmpty()) {
--- a/src/main/java/yewjunction/weave/Weave.java
+++ b/src/main/java/yewjunction/weave/Weave.java
@@ -175,8 +175,14 @@
 
     /** Parts held here that differ from those digests, in any order, up to about so many cells. */
     public List<Long> news(final byte[] theirMarks, final int mostCells, final Random luck) {
+        return newsOf(panels.keySet(), theirMarks, mostCells, luck);
+    }
+
+    /** The same, of some replicas. */
+    public List<Long> newsOf(final Collection<Long> of, final byte[] theirMarks, final int mostCells, final Random luck) {
         final Map<Long, Long> theirs = Pattern.unpackMarks(theirMarks);
-        final List<Long> replicas = new ArrayList<>(panels.keySet());
+        final List<Long> replicas = new ArrayList<>(of);
+        replicas.retainAll(panels.keySet());
         Collections.shuffle(replicas, luck);
         final List<Long> news = new ArrayList<>();
         int cells = 0;
