--- a/src/main/java/yewjunction/base/Limits.java
+++ b/src/main/java/yewjunction/base/Limits.java
@@ -190,10 +190,10 @@
     // --- weave ---
     /** ms; pace of exchange between an edge and its home, and inside a zone. */
     public static final long GOSSIP_MS = 1_000;
-    /** one round in so many also compares with homes of other zones, whose bytes are dear. */
+    /** one round in so many also asks homes of other zones of their own edges; each one while some client asks for counts. */
     public static final int GOSSIP_ACROSS_EVERY = 12;
-    /** the same while some client asks for counts, which must not be older than five seconds. */
-    public static final int GOSSIP_ACROSS_COUNTING = 2;
+    /** one round in so many also compares a little of everything with them: parts whose home is gone. */
+    public static final int GOSSIP_HEAL_EVERY = 60;
     /** ms; a zone counts as asking for this long after a question. */
     public static final long COUNTING_MS = 10_000;
     /** cells; one answer to a digest at most: about 12 bytes each on the wire. */
--- a/src/main/java/yewjunction/herald/Warp.java
+++ b/src/main/java/yewjunction/herald/Warp.java
@@ -16,8 +16,9 @@
 
 import static yewjunction.base.Limits.COUNTING_MS;
 import static yewjunction.base.Limits.GAUGE_CELLS;
-import static yewjunction.base.Limits.GOSSIP_ACROSS_COUNTING;
+import static yewjunction.base.Limits.GAUGE_EDGE_CELLS;
 import static yewjunction.base.Limits.GOSSIP_ACROSS_EVERY;
+import static yewjunction.base.Limits.GOSSIP_HEAL_EVERY;
 import static yewjunction.base.Limits.GOSSIP_MS;
 
 /**
@@ -54,11 +55,18 @@
         });
         post.on(Tally.class, this::tally);
         post.onClose(marks::remove);
+        // Started together, they would all pause for it in the same second.
+        rounds = pulse.luck().nextInt(GOSSIP_HEAL_EVERY);
         pulse.every(GOSSIP_MS, this::round);
     }
 
     private void tally(final Link link, final Tally tally) {
+        final boolean first = pulse.nowMs() - countingMs > COUNTING_MS;
         countingMs = pulse.nowMs();
+        if (first) {
+            // Nobody asked for long, so little is known here of other zones: the next questions find it.
+            askOthers();
+        }
         final Tallied tallied = new Tallied();
         tallied.errand = tally.errand;
         tallied.count = weave.count(tally.topic, live);
@@ -94,16 +102,22 @@
                 partners.putIfAbsent(sibling.zone, sibling);
             }
         }
-        final boolean across = rounds % GOSSIP_ACROSS_EVERY == 0;
+        final boolean heals = rounds % GOSSIP_HEAL_EVERY == 0;
         partners.forEach((zone, sibling) -> {
-            // Both sides give and take, so one of them asks: the first by address.
-            if (zone.equals(roster.self().zone) || across && roster.self().address.compareTo(sibling.address) < 0) {
-                shuttle.compare(post.dial(sibling.address), GAUGE_CELLS, true);
+            final boolean inside = zone.equals(roster.self().zone);
+            // Both sides give and take; across zones only a little of what no home tells of itself.
+            if (inside || heals) {
+                shuttle.compare(post.dial(sibling.address), inside ? GAUGE_CELLS : GAUGE_EDGE_CELLS, true);
             }
         });
-        if (pulse.nowMs() - countingMs < COUNTING_MS && rounds % GOSSIP_ACROSS_COUNTING == 0) {
-            homes.stream().filter(sibling -> sibling.ready && !sibling.zone.equals(roster.self().zone))
-                .forEach(sibling -> shuttle.compareOwn(post.dial(sibling.address)));
+        if (pulse.nowMs() - countingMs < COUNTING_MS || rounds % GOSSIP_ACROSS_EVERY == 0) {
+            askOthers();
         }
     }
+
+    /** Each home of another zone tells of its own edges. */
+    private void askOthers() {
+        roster.up("vault").stream().filter(sibling -> sibling.ready && !sibling.zone.equals(roster.self().zone))
+            .forEach(sibling -> shuttle.compareOwn(post.dial(sibling.address)));
+    }
 }
