--- a/src/main/java/yewjunction/app/Process.java
+++ b/src/main/java/yewjunction/app/Process.java
@@ -25,13 +25,13 @@
 import yewjunction.node.Node;
 import yewjunction.node.VaultNode;
 import yewjunction.roster.Roster;
-import yewjunction.roster.Sibling;
+import yewjunction.roster.Peer;
 import yewjunction.settings.Settings;
 import yewjunction.window.Windows;
 
 import static yewjunction.base.Limits.SETTINGS_LOOK_MS;
 
-/** What all processes share: the agent, sibling links, the roster, signals, the settings file. */
+/** What all processes share: the agent, peer links, the roster, signals, the settings file. */
 final class Process {
     private final Settings settings;
     private final Loom loom;
@@ -60,7 +60,7 @@
         yewjunction.vault.Letters.know(codec);
         yewjunction.herald.Letters.know(codec);
         final Wires wires = new Wires(loom, codec, Addresses.parse(address));
-        final Sibling self = new Sibling();
+        final Peer self = new Peer();
         self.address = address;
         self.node = settings.node();
         self.zone = settings.zone();
@@ -90,7 +90,7 @@
         if (calendar != null) {
             final Windows windows = Windows.read(Path.of(calendar));
             windows.bad().forEach(Event.CALENDAR_BAD::warn);
-            roster.planned(sibling -> windows.explains(Instant.now(), List.of(sibling.node, sibling.zone)));
+            roster.planned(peer -> windows.explains(Instant.now(), List.of(peer.node, peer.zone)));
         }
     }
 
--- a/src/main/java/yewjunction/app/Web.java
+++ b/src/main/java/yewjunction/app/Web.java
@@ -57,12 +57,12 @@
         final int port = Addresses.parse(address).getPort();
         server(address, exchange -> {
             final byte[] body = exchange.getRequestBody().readNBytes(CONFIG_BYTES + 1);
-            final Desk.Errand errand = new Desk.Errand(exchange.getRequestMethod(), exchange.getRequestURI().getPath(),
+            final Desk.Request request = new Desk.Request(exchange.getRequestMethod(), exchange.getRequestURI().getPath(),
                 exchange.getRequestHeaders().getFirst("Base-Version"), body);
             final CompletableFuture<Desk.Answer> promise = new CompletableFuture<>();
             pulse.post(() -> {
                 try {
-                    desk.take(errand, promise::complete);
+                    desk.take(request, promise::complete);
                 } catch (final RuntimeException defect) {
                     promise.completeExceptionally(defect);
                 }
--- a/src/main/java/yewjunction/base/Limits.java
+++ b/src/main/java/yewjunction/base/Limits.java
@@ -4,18 +4,18 @@
 public final class Limits {
     private Limits() {
     }
-    // --- links between siblings ---
-    /** ms; a sibling that is up takes a link within a round trip, so a second means it is dark. */
+    // --- links between peers ---
+    /** ms; a peer that is up takes a link within a round trip, so a second means it is dark. */
     public static final long DIAL_MS = 1_000;
-    /** ms; a link that sent nothing for this long says so, which keeps a dark sibling apart from a quiet one. */
+    /** ms; a link that sent nothing for this long says so, which keeps a dark peer apart from a quiet one. */
     public static final long LINK_BEAT_MS = 800;
     /** ms; about three beats: two may be late on a lossy link. */
     public static final long LINK_SILENCE_MS = 2_600;
     /** bytes; one letter at most, above any snapshot piece and any state of the set. */
     public static final int LETTER_BYTES = 16 << 20;
-    /** bytes; what may wait for a sibling that reads slowly before it is cut. */
+    /** bytes; what may wait for a peer that reads slowly before it is cut. */
     public static final int LINK_QUEUE_BYTES = 24 << 20;
-    /** bytes; first size of a buffer of a sibling link: most letters fit. */
+    /** bytes; first size of a buffer of a peer link: most letters fit. */
     public static final int LINK_BUFFER_BYTES = 4 << 10;
     // --- clients ---
     /** bytes; body of a message at most and at least (protocol). */
@@ -98,11 +98,11 @@
     public static final long PROBE_MS = 1_000;
     /** ms; a direct answer by then, or others are asked. */
     public static final long PROBE_ANSWER_MS = 300;
-    /** count; siblings asked for a second opinion. */
+    /** count; peers asked for a second opinion. */
     public static final int PROBE_HELPERS = 2;
-    /** ms; a suspected sibling may refute this long. */
+    /** ms; a suspected peer may refute this long. */
     public static final long SUSPECT_MS = 2_000;
-    /** ms; how long a removed sibling is remembered, so that late news does not revive it. */
+    /** ms; how long a removed peer is remembered, so that late news does not revive it. */
     public static final long GONE_MS = 20_000;
     /** count; news that ride on one probe: keeps datagrams small. */
     public static final int NEWS_PER_PROBE = 6;
@@ -110,7 +110,7 @@
     public static final int NEWS_TIMES = 6;
     /** one probe in so many goes to another zone: cross-zone bytes are dear. */
     public static final int PROBE_ACROSS_EVERY = 6;
-    /** siblings; told in one datagram: about 100 bytes each, and a large datagram is lost whole. */
+    /** peers; told in one datagram: about 100 bytes each, and a large datagram is lost whole. */
     public static final int CREW_PER_LETTER = 24;
     /** ms; pace of asking the seeds until one answers; from then on three times slower each time. */
     public static final long JOIN_MS = 300;
@@ -126,7 +126,7 @@
     public static final long ELECT_FIRST_LEAST_MS = 120, ELECT_FIRST_MOST_MS = 320;
     /** ms; a follower whose link from the leader broke waits this long for another: above a beat and a dial. */
     public static final long ELECT_BROKEN_LEAST_MS = 130, ELECT_BROKEN_MOST_MS = 260;
-    /** share of beats that every sibling answers late, above which a leader hands over: its own links must be the cause. */
+    /** share of beats that every peer answers late, above which a leader hands over: its own links must be the cause. */
     public static final double LATE_SHARE = 0.2;
     /** weight of the newest beat in that share: it looks back about two seconds. */
     public static final double LATE_WEIGHT = 0.05;
@@ -138,7 +138,7 @@
     public static final long APPEND_AGAIN_MS = 400;
     /** bytes; a ledger file longer than this is rewritten. */
     public static final long LEDGER_BYTES = 12L << 20;
-    /** entries and bytes; kept behind a snapshot for siblings that were away a short while. */
+    /** entries and bytes; kept behind a snapshot for peers that were away a short while. */
     public static final int LEDGER_TAIL_ENTRIES = 2_000, LEDGER_TAIL_BYTES = 2 << 20;
     /** bytes; one piece of a snapshot: below what holds up a beat on a slow link. */
     public static final int IMAGE_PIECE_BYTES = 128 << 10;
--- a/src/main/java/yewjunction/base/Link.java
+++ b/src/main/java/yewjunction/base/Link.java
@@ -1,6 +1,6 @@
 package yewjunction.base;
 
-/** An ordered connection to a sibling; letters are lost only together with the link. */
+/** An ordered connection to a peer; letters are lost only together with the link. */
 public interface Link {
     /** Queues a letter; false when the link is closed. */
     boolean send(Object letter);
@@ -9,6 +9,6 @@
 
     boolean open();
 
-    /** The far address, ip:port; for links taken in, the port is the sibling's ephemeral one. */
+    /** The far address, ip:port; for links taken in, the port is the peer's ephemeral one. */
     String remote();
 }
--- a/src/main/java/yewjunction/base/Post.java
+++ b/src/main/java/yewjunction/base/Post.java
@@ -3,7 +3,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
-/** Letters between siblings over ordered links. */
+/** Letters between peers over ordered links. */
 public interface Post {
     /** The link to that address, dialled when there is none. */
     Link dial(String address);
--- a/src/main/java/yewjunction/base/ToolLimits.java
+++ b/src/main/java/yewjunction/base/ToolLimits.java
@@ -7,7 +7,7 @@
     // --- doctor ---
     /** ms; one call of the doctor: a machine that takes longer is as good as silent. */
     public static final int DOCTOR_CALL_MS = 1_500;
-    /** ms; between two looks: longer than an election, and than news of a sibling takes. */
+    /** ms; between two looks: longer than an election, and than news of a peer takes. */
     public static final long DOCTOR_AGAIN_MS = 2_500;
     /** ms; clocks further apart than this confuse whoever reads two logs; the Date header has whole seconds. */
     public static final long DOCTOR_APART_MS = 3_000;
--- a/src/main/java/yewjunction/charter/Core.java
+++ b/src/main/java/yewjunction/charter/Core.java
@@ -28,7 +28,7 @@
         Facts facts = new Facts();
     }
 
-    /** An errand that was taken, so that its exact repeat is known. */
+    /** An request that was taken, so that its exact repeat is known. */
     static final class Taken {
         long version;
         String digest = "";
--- a/src/main/java/yewjunction/charter/Crux.java
+++ b/src/main/java/yewjunction/charter/Crux.java
@@ -58,7 +58,7 @@
     private void joinWhileOutside(final List<String> seedAddresses) {
         if (!ledger.voters().contains(ledger.identity()) || ledger.leaderless()) {
             final List<String> known = new java.util.ArrayList<>(seedAddresses);
-            roster.up("crux").forEach(sibling -> known.add(sibling.address));
+            roster.up("crux").forEach(peer -> known.add(peer.address));
             known.stream().distinct().filter(address -> !address.equals(ownAddress))
                 .forEach(address -> ledger.join(address, votes));
         }
--- a/src/main/java/yewjunction/charter/Deed.java
+++ b/src/main/java/yewjunction/charter/Deed.java
@@ -13,7 +13,7 @@
     static final int RETIRED = 6;
 
     int kind;
-    /** CONFIG: the whole of it, the version it builds on, and the digest of the errand that brought it. */
+    /** CONFIG: the whole of it, the version it builds on, and the digest of the request that brought it. */
     String json = "";
     long version;
     long base;
--- a/src/main/java/yewjunction/charter/Desk.java
+++ b/src/main/java/yewjunction/charter/Desk.java
@@ -40,7 +40,7 @@
         }
     }
 
-    public record Errand(String method, String path, String base, byte[] body) {
+    public record Request(String method, String path, String base, byte[] body) {
     }
 
     Desk(final Core core, final Ledger ledger, final Registrar registrar, final Outlook outlook) {
@@ -55,15 +55,15 @@
     }
 
     /** Answers once, maybe later. */
-    public void take(final Errand errand, final Consumer<Answer> answer) {
-        final String[] segments = errand.path.split("/", -1);
+    public void take(final Request request, final Consumer<Answer> answer) {
+        final String[] segments = request.path.split("/", -1);
         final String shape = shape(segments);
         final String wanted = shape == null ? null : shape.endsWith("show") ? "GET" : "POST";
         if (wanted == null) {
-            answer.accept(Answer.deny(404, "PATH_UNKNOWN", errand.path));
-        } else if (!wanted.equals(errand.method)) {
+            answer.accept(Answer.deny(404, "PATH_UNKNOWN", request.path));
+        } else if (!wanted.equals(request.method)) {
             answer.accept(Answer.deny(405, "METHOD_WRONG", "use " + wanted));
-        } else if (errand.body.length > CONFIG_BYTES) {
+        } else if (request.body.length > CONFIG_BYTES) {
             answer.accept(Answer.deny(413, "BODY_TOOBIG", "at most " + CONFIG_BYTES + " bytes"));
         } else if (shape.equals("outlook show")) {
             answer.accept(Answer.of(200, outlook.json()));
@@ -74,7 +74,7 @@
         } else {
             switch (shape) {
                 case "config show" -> show(answer);
-                case "config replace", "config update" -> inTurn(() -> change(errand, shape, answer));
+                case "config replace", "config update" -> inTurn(() -> change(request, shape, answer));
                 case "quota show" -> quotaShow(segments[3], answer);
                 case "retire begin" -> retire(segments[3], answer);
                 default -> retireShow(segments[3], answer);
@@ -136,8 +136,8 @@
         }
     }
 
-    private void change(final Errand errand, final String shape, final Consumer<Answer> answer) {
-        final Answer refusal = tryChange(errand, shape, answer);
+    private void change(final Request request, final String shape, final Consumer<Answer> answer) {
+        final Answer refusal = tryChange(request, shape, answer);
         if (refusal != null) {
             if (refusal.status != 200 && refusal.status != 307) {
                 Event.CONFIG_DENIED.info(refusal.status + " " + refusal.json);
@@ -148,18 +148,18 @@
     }
 
     /** The answer when it is known at once, or null when the change has gone to the ledger. */
-    private Answer tryChange(final Errand errand, final String shape, final Consumer<Answer> answer) {
+    private Answer tryChange(final Request request, final String shape, final Consumer<Answer> answer) {
         if (!ledger.leads()) {
             return elsewhere();
         }
         final Deed deed = new Deed(Deed.CONFIG);
         try {
-            deed.base = Long.parseLong(String.valueOf(errand.base).trim());
+            deed.base = Long.parseLong(String.valueOf(request.base).trim());
         } catch (final NumberFormatException defect) {
             return Answer.deny(400, CONFIG_FIELD.name(), "Base-Version: must be a whole number");
         }
         try {
-            final Config sent = Charter.parse(new String(errand.body, StandardCharsets.UTF_8));
+            final Config sent = Charter.parse(new String(request.body, StandardCharsets.UTF_8));
             deed.digest = digest(shape + " " + deed.base + " " + Charter.render(sent));
             if (sent.hasPath("Ver") && core.taken(sent.getLong("Ver"), deed.digest)) {
                 return Answer.of(200, "{\"Ver\":" + sent.getLong("Ver") + "}");
--- a/src/main/java/yewjunction/charter/Outlook.java
+++ b/src/main/java/yewjunction/charter/Outlook.java
@@ -8,7 +8,7 @@
 import java.util.Map;
 import yewjunction.ledger.Ledger;
 import yewjunction.roster.Roster;
-import yewjunction.roster.Sibling;
+import yewjunction.roster.Peer;
 
 /** How the system looks from one crux, for operators and the doctor. Answered by any crux, from its own tables. */
 final class Outlook {
@@ -42,12 +42,12 @@
         page.put("Votes", ledger.voters().contains(ledger.identity()));
         page.put("Applied", ledger.applied());
         page.put("Ver", core.version());
-        final List<Map<String, Object>> siblings = new ArrayList<>();
-        for (final Sibling sibling : roster.all()) {
-            siblings.add(Map.of("Nodename", sibling.node, "Duty", sibling.duty, "Az", sibling.zone,
-                "Addr", sibling.address, "Up", sibling.up(), "Suspect", sibling.suspect(), "Ready", sibling.ready));
+        final List<Map<String, Object>> peers = new ArrayList<>();
+        for (final Peer peer : roster.all()) {
+            peers.add(Map.of("Nodename", peer.node, "Duty", peer.duty, "Az", peer.zone,
+                "Addr", peer.address, "Up", peer.up(), "Suspect", peer.suspect(), "Ready", peer.ready));
         }
-        page.put("Siblings", siblings);
+        page.put("Siblings", peers);
         // Only the leader hears from all vaults; on the others the list is empty.
         page.put("Vaults", registrar.vaultRows());
         page.put("DiskOwedMs", ledger.course().owedMs());
--- a/src/main/java/yewjunction/charter/Registrar.java
+++ b/src/main/java/yewjunction/charter/Registrar.java
@@ -13,7 +13,7 @@
 import yewjunction.charter.Letters.Who;
 import yewjunction.ledger.Ledger;
 import yewjunction.roster.Roster;
-import yewjunction.roster.Sibling;
+import yewjunction.roster.Peer;
 
 import static yewjunction.base.Limits.ENROL_MS;
 import static yewjunction.base.Limits.REPLICA_GONE_MS;
@@ -137,8 +137,8 @@
         }
         final long nowMs = pulse.nowMs();
         for (final Facts.Replica replica : List.copyOf(core.facts().replicas)) {
-            final Sibling sibling = roster.at(replica.address);
-            if (sibling != null && sibling.up()) {
+            final Peer peer = roster.at(replica.address);
+            if (peer != null && peer.up()) {
                 goneMs.remove(replica.address);
             } else if (nowMs - goneMs.computeIfAbsent(replica.address, key -> nowMs) > REPLICA_GONE_MS) {
                 final Deed deed = new Deed(Deed.REPLICA_GONE);
--- a/src/main/java/yewjunction/charter/Tenure.java
+++ b/src/main/java/yewjunction/charter/Tenure.java
@@ -29,7 +29,7 @@
     private Facts facts = new Facts();
     private long leaseEndMs = Long.MIN_VALUE;
     private boolean held;
-    private int shot;
+    private int attempt;
     private int good;
     private long askNumber;
     private long answeredNumber;
@@ -109,10 +109,10 @@
         final boolean silent = answeredNumber < askNumber;
         if (silent) {
             // The home did not answer: it may be dark, so the next nearest is asked.
-            shot++;
+            attempt++;
             good = 0;
         } else if (++good >= LEASE_RETURN) {
-            shot = 0;
+            attempt = 0;
         }
         if (!known.isEmpty()) {
             askNumber++;
@@ -125,7 +125,7 @@
             renew.version = version();
             renew.factsNumber = facts.number;
             renew.who = who;
-            final Link link = post.dial(known.get(shot % known.size()));
+            final Link link = post.dial(known.get(attempt % known.size()));
             link.send(renew);
         }
         pulse.after(charter == null ? LEASE_FIRST_MS : known.isEmpty() || silent ? LEASE_ANSWER_MS / 2 : LEASE_PACE_MS, this::renew);
@@ -189,7 +189,7 @@
         return facts;
     }
 
-    /** Whether errands may be admitted and messages delivered right now. */
+    /** Whether requests may be admitted and messages delivered right now. */
     public boolean held() {
         return charter != null && pulse.nowMs() < leaseEndMs;
     }
--- a/src/main/java/yewjunction/dock/Berth.java
+++ b/src/main/java/yewjunction/dock/Berth.java
@@ -79,7 +79,7 @@
                 return length;
             }
             if (state == Words.GOOD) {
-                dock.errands().take(this, words);
+                dock.requests().take(this, words);
             } else {
                 refuse("PUB", words.text(1), words.count() > 3 ? words.text(2) : "", state == Words.BAD ? "BADMSG" : "TOOBIG");
                 if (words.bodyUnread()) {
--- a/src/main/java/yewjunction/dock/Boarding.java
+++ b/src/main/java/yewjunction/dock/Boarding.java
@@ -28,7 +28,7 @@
     private final Map<Long, Sub> fetching = new LinkedHashMap<>();
     private final Set<Sub> filtered = new HashSet<>();
     private Envoy envoy;
-    private long errands;
+    private long requests;
 
     Boarding(final Dock dock, final Pulse pulse, final Weave weave) {
         this.dock = dock;
@@ -68,9 +68,9 @@
             weave.remove(sub.topic, sub.berth.client);
         }
         sub.instance = weave.add(sub.topic, sub.berth.client);
-        final long errand = ++errands;
-        joining.put(errand, sub);
-        notice(errand, sub);
+        final long request = ++requests;
+        joining.put(request, sub);
+        notice(request, sub);
     }
 
     /** Asked once more on the same link, with a filter or without. */
@@ -87,24 +87,24 @@
         fetching.forEach(this::further);
     }
 
-    private void notice(final long errand, final Sub sub) {
-        envoy.weft().notice(errand, sub.topic, sub.berth.client, sub.instance, sub.position);
+    private void notice(final long request, final Sub sub) {
+        envoy.weft().notice(request, sub.topic, sub.berth.client, sub.instance, sub.position);
     }
 
     private void fetch(final Sub sub) {
-        final long errand = ++errands;
-        fetching.put(errand, sub);
-        further(errand, sub);
+        final long request = ++requests;
+        fetching.put(request, sub);
+        further(request, sub);
     }
 
-    private void further(final long errand, final Sub sub) {
-        envoy.weft().further(errand, sub.topic, sub.replay.isEmpty() ? sub.after : sub.replay.getLast().index, sub.replayTo);
+    private void further(final long request, final Sub sub) {
+        envoy.weft().further(request, sub.topic, sub.replay.isEmpty() ? sub.after : sub.replay.getLast().index, sub.replayTo);
     }
 
     /** A home's word on a subscription: where it starts, and the first piece of what lies behind its cursor. */
-    void taken(final long errand, final boolean expired, final long position, final List<Message> behind, final boolean more) {
-        final Sub waiting = fetching.remove(errand);
-        final Sub sub = waiting != null ? waiting : joining.remove(errand);
+    void taken(final long request, final boolean expired, final long position, final List<Message> behind, final boolean more) {
+        final Sub waiting = fetching.remove(request);
+        final Sub sub = waiting != null ? waiting : joining.remove(request);
         if (sub == null || sub.berth.subs.get(sub.topic) != sub) {
             return;
         }
--- a/src/main/java/yewjunction/dock/Dock.java
+++ b/src/main/java/yewjunction/dock/Dock.java
@@ -28,7 +28,7 @@
     private final Pulse pulse;
     private final Tenure tenure;
     private final Weave weave;
-    private final Errands errands;
+    private final Requests requests;
     private final Shipping shipping;
     private final long silentMs;
     private final Map<String, Berth> clients = new HashMap<>();
@@ -45,7 +45,7 @@
         this.pulse = pulse;
         this.tenure = tenure;
         this.weave = weave;
-        errands = new Errands(this, tenure, weave);
+        requests = new Requests(this, tenure, weave);
         shipping = new Shipping(pulse, post);
         absentees = new Absentees(weave);
         boarding = new Boarding(this, pulse, weave);
@@ -71,8 +71,8 @@
         return pulse.nowMs();
     }
 
-    Errands errands() {
-        return errands;
+    Requests requests() {
+        return requests;
     }
 
     Boarding boarding() {
@@ -139,9 +139,9 @@
     }
 
     @Override
-    public void taken(final long errand, final boolean expired, final long position, final List<Message> behind,
+    public void taken(final long request, final boolean expired, final long position, final List<Message> behind,
             final boolean more) {
-        boarding.taken(errand, expired, position, behind, more);
+        boarding.taken(request, expired, position, behind, more);
     }
 
     // --- messages ---
@@ -194,7 +194,7 @@
         boarding.charter(charter);
         for (final Berth berth : berths()) {
             for (final String topic : new ArrayList<>(berth.subs.keySet())) {
-                final String denial = Errands.charterDenial(charter, berth.secret, topic);
+                final String denial = Requests.charterDenial(charter, berth.secret, topic);
                 if (denial != null) {
                     boarding.drop(berth, topic);
                     berth.refuse("SUB", topic, "", denial);
@@ -230,7 +230,7 @@
             // The same without a home; whoever has only just come may still see one found.
             berths().stream().filter(berth -> nowMs - berth.greetedMs > HOMELESS_MS).forEach(berth -> berth.line.close());
         }
-        errands.look(nowMs);
+        requests.look(nowMs);
         shipping.look(nowMs);
         boarding.look(nowMs);
         envoy.weft().look();
--- a/src/main/java/yewjunction/dock/Drain.java
+++ b/src/main/java/yewjunction/dock/Drain.java
@@ -5,7 +5,7 @@
 import yewjunction.base.Event;
 import yewjunction.base.Pulse;
 import yewjunction.roster.Roster;
-import yewjunction.roster.Sibling;
+import yewjunction.roster.Peer;
 
 import static yewjunction.base.Limits.DRAIN_MS;
 import static yewjunction.base.Limits.MOVE_SPAN_MS;
@@ -58,22 +58,22 @@
     }
 
     void move(final Berth berth) {
-        final Sibling target = target();
+        final Peer target = target();
         if (target != null) {
             berth.moved = true;
             berth.plain("MOVE " + target.front);
         }
     }
 
-    private Sibling target() {
-        final List<Sibling> near = new ArrayList<>();
-        final List<Sibling> far = new ArrayList<>();
-        for (final Sibling sibling : roster.up("tide")) {
-            if (sibling.ready && !sibling.front.isEmpty()) {
-                (sibling.zone.equals(roster.self().zone) ? near : far).add(sibling);
+    private Peer target() {
+        final List<Peer> near = new ArrayList<>();
+        final List<Peer> far = new ArrayList<>();
+        for (final Peer peer : roster.up("tide")) {
+            if (peer.ready && !peer.front.isEmpty()) {
+                (peer.zone.equals(roster.self().zone) ? near : far).add(peer);
             }
         }
-        final List<Sibling> chosen = near.isEmpty() ? far : near;
+        final List<Peer> chosen = near.isEmpty() ? far : near;
         return chosen.isEmpty() ? null : chosen.get(Math.floorMod(turn++, chosen.size()));
     }
 }
--- a/src/main/java/yewjunction/dock/Intake.java
+++ b/src/main/java/yewjunction/dock/Intake.java
@@ -18,7 +18,7 @@
 
     /** One message of a client, until it has its final answer. */
     static final class Parcel {
-        final long errand;
+        final long request;
         final Berth berth;
         final Message message;
         final String tenant;
@@ -35,9 +35,9 @@
         /** It must not be accepted any more, and only a leader may promise that. */
         boolean revoked;
 
-        Parcel(final long errand, final Berth berth, final Message message, final String tenant, final long startMs,
+        Parcel(final long request, final Berth berth, final Message message, final String tenant, final long startMs,
                 final Space space) {
-            this.errand = errand;
+            this.request = request;
             this.berth = berth;
             this.message = message;
             this.tenant = tenant;
--- a/src/main/java/yewjunction/dock/Errands.java
+++ b/src/main/java/yewjunction/dock/Requests.java
@@ -11,7 +11,7 @@
 import static yewjunction.base.Limits.HELLO_ANSWER_MS;
 
 /** What each word of a client asks for, checked against the configuration in force. */
-final class Errands {
+final class Requests {
     /** bytes; a cursor of this system is a number and never longer. */
     private static final int POSITION_CHARS = 18;
     private final List<Waiting> waiting = new ArrayList<>();
@@ -23,7 +23,7 @@
     private record Waiting(Berth berth, String client, String secret, long sinceMs) {
     }
 
-    Errands(final Dock dock, final Tenure tenure, final Weave weave) {
+    Requests(final Dock dock, final Tenure tenure, final Weave weave) {
         this.dock = dock;
         this.tenure = tenure;
         this.weave = weave;
--- a/src/main/java/yewjunction/dock/Shipping.java
+++ b/src/main/java/yewjunction/dock/Shipping.java
@@ -34,7 +34,7 @@
     private final Map<Long, Parcel> parcels = new LinkedHashMap<>();
     private Link leaderLink;
     private String leader = "";
-    private long errands;
+    private long requests;
     private int offered;
     /** No offers before this: whoever said that it does not lead is not asked at once again. */
     private long pauseUntilMs;
@@ -64,7 +64,7 @@
         message.number = number;
         message.body = body;
         message.tenant(tenant);
-        final Parcel parcel = new Parcel(++errands, berth, message, tenant, pulse.nowMs(), space);
+        final Parcel parcel = new Parcel(++requests, berth, message, tenant, pulse.nowMs(), space);
         parcel.sent = !firstTry;
         // No prospect: said at once, and the client may try where there is more.
         final boolean follows = !space.after().isEmpty();
@@ -79,7 +79,7 @@
             unansweredMs = parcel.startMs;
         }
         berth.underWay++;
-        parcels.put(parcel.errand, parcel);
+        parcels.put(parcel.request, parcel);
         offer();
     }
 
@@ -95,7 +95,7 @@
             }
             final Parcel parcel = intake.next();
             final Admit admit = new Admit();
-            admit.request = parcel.errand;
+            admit.request = parcel.request;
             admit.message = parcel.message;
             admit.revoked = parcel.revoked ? true : null;
             parcel.offered = true;
@@ -167,7 +167,7 @@
         if (parcel == null || verdict.what == Letters.DENIED && parcel.link != link) {
             return;
         }
-        parcels.remove(parcel.errand);
+        parcels.remove(parcel.request);
         settled(parcel);
         pauseMs = OFFER_FIRST_MS;
         inTouch();
@@ -204,7 +204,7 @@
                 later.revoked = true;
                 intake.put(later);
             } else {
-                parcels.remove(later.errand);
+                parcels.remove(later.request);
                 settled(later);
                 giveUp(later);
             }
@@ -217,7 +217,7 @@
             final long heldMs = nowMs - parcel.startMs;
             // What never left is promised away early; of the rest nothing is known here.
             if (heldMs > parcel.timeoutMs * (parcel.sent ? ANSWER_SHARE : HOLD_SHARE)) {
-                if (parcels.remove(parcel.errand) != null) {
+                if (parcels.remove(parcel.request) != null) {
                     settled(parcel);
                     giveUp(parcel);
                 }
@@ -243,7 +243,7 @@
     /** A link is gone: its messages are not sent again from here, since the client will do so elsewhere. */
     void gone(final Berth berth) {
         parcels.values().stream().filter(parcel -> parcel.berth == berth).toList().forEach(parcel -> {
-            parcels.remove(parcel.errand);
+            parcels.remove(parcel.request);
             settled(parcel);
         });
     }
--- a/src/main/java/yewjunction/doctor/Doctor.java
+++ b/src/main/java/yewjunction/doctor/Doctor.java
@@ -55,7 +55,7 @@
         settings.seeds().stream().distinct().forEach(this::seed);
         if (!outlooks.isEmpty()) {
             core();
-            siblings();
+            peers();
             wards();
             vaults();
         }
@@ -130,7 +130,7 @@
         }
     }
 
-    private void siblings() {
+    private void peers() {
         final TreeMap<String, Config> known = new TreeMap<>();
         outlooks.values().forEach(outlook -> outlook.getConfigList("Siblings").forEach(one -> known.put(one.getString("Addr"), one)));
         final Set<String> answering = new HashSet<>(known.keySet());
@@ -140,14 +140,14 @@
                 found(Code.VOTER_GONE, "nobody knows the voter at " + voter, "start a crux in its place: it takes the seat by itself");
             }
         }
-        for (final Config sibling : known.values()) {
-            final String name = sibling.getString("Nodename") + " (" + sibling.getString("Duty") + ")";
-            if (sibling.getBoolean("Suspect") || !sibling.getBoolean("Up")) {
+        for (final Config peer : known.values()) {
+            final String name = peer.getString("Nodename") + " (" + peer.getString("Duty") + ")";
+            if (peer.getBoolean("Suspect") || !peer.getBoolean("Up")) {
                 found(Code.SIBLING_SUSPECT, name + " does not answer probes", "see whether it runs; it may just be stopping",
-                    sibling.getString("Nodename"), sibling.getString("Az"));
-            } else if (sibling.getString("Duty").equals("tide") && !sibling.getBoolean("Ready")) {
+                    peer.getString("Nodename"), peer.getString("Az"));
+            } else if (peer.getString("Duty").equals("tide") && !peer.getBoolean("Ready")) {
                 found(Code.EDGE_NOT_READY, name + " takes no clients", "see its log: no lease, no home vault, or draining",
-                    sibling.getString("Nodename"), sibling.getString("Az"));
+                    peer.getString("Nodename"), peer.getString("Az"));
             }
         }
     }
--- a/src/main/java/yewjunction/herald/Envoy.java
+++ b/src/main/java/yewjunction/herald/Envoy.java
@@ -34,7 +34,7 @@
     private long heardMs;
     private long homelessMs;
     private long returnMs;
-    private int shot;
+    private int attempt;
     private int denials;
     private String leader = "";
 
@@ -42,7 +42,7 @@
     public interface Watcher {
         void message(Message message);
 
-        void taken(long errand, boolean expired, long position, List<Message> behind, boolean more);
+        void taken(long request, boolean expired, long position, List<Message> behind, boolean more);
 
         void leaderIs(String address);
 
@@ -78,7 +78,7 @@
             if (home != null && pulse.nowMs() - heardMs > HOME_SILENCE_MS) {
                 // A dark machine resets nothing: silence is all there is to go by.
                 leave();
-                shot++;
+                attempt++;
             }
             if (home == null) {
                 denials = 0;
@@ -114,7 +114,7 @@
             returnMs = nowMs;
         } else if (nowMs - returnMs > HOME_RETURN_MS) {
             returnMs = nowMs;
-            shot = 0;
+            attempt = 0;
             leave();
             attach();
         }
@@ -125,7 +125,7 @@
         if (weave.self() == 0 || known.isEmpty() || home != null) {
             return;
         }
-        home = post.dial(known.get(Math.floorMod(shot, known.size())));
+        home = post.dial(known.get(Math.floorMod(attempt, known.size())));
         heardMs = pulse.nowMs();
         // Its own part of the set comes first, so that the stream starts with all this edge's subscriptions.
         shuttle.push(home, List.of(weave.self()), weave.mark(weave.self()));
@@ -160,7 +160,7 @@
             // A link that broke may be the link's own trouble: the same home is asked first, and only one that
             // does not take this edge again is given up for another zone's.
             if (!welcomed) {
-                shot++;
+                attempt++;
             }
             leave();
             attach();
@@ -174,7 +174,7 @@
         heardMs = pulse.nowMs();
         if (!welcome.accepted) {
             leave();
-            shot++;
+            attempt++;
             // Each vault is asked once a beat: the next one at once, the same again a little later.
             if (++denials < vaults.get().size()) {
                 attach();
@@ -224,7 +224,7 @@
     private void takenUp(final Link link, final Taken taken) {
         if (link == home && welcomed) {
             heardMs = pulse.nowMs();
-            watcher.taken(taken.errand, taken.expired, taken.position, taken.messages, taken.more);
+            watcher.taken(taken.request, taken.expired, taken.position, taken.messages, taken.more);
         }
     }
 }
--- a/src/main/java/yewjunction/herald/Home.java
+++ b/src/main/java/yewjunction/herald/Home.java
@@ -109,7 +109,7 @@
         weave.takenOver(notice.topic, notice.client, port.replica);
         port.early.merge(notice.topic, notice.instance, Math::max);
         final Taken taken = new Taken();
-        taken.errand = notice.errand;
+        taken.request = notice.request;
         taken.position = Math.max(notice.position, ledger.applied());
         if (notice.position >= 0) {
             fill(taken, notice.topic, notice.position, taken.position);
@@ -144,7 +144,7 @@
             return;
         }
         final Taken taken = new Taken();
-        taken.errand = further.errand;
+        taken.request = further.request;
         taken.position = further.upTo;
         fill(taken, further.topic, further.after, further.upTo);
         link.send(taken);
--- a/src/main/java/yewjunction/herald/Letters.java
+++ b/src/main/java/yewjunction/herald/Letters.java
@@ -42,7 +42,7 @@
 
     /** Early word of a new instance of the set, and the subscription it stands for. */
     static final class Notice {
-        long errand;
+        long request;
         String topic = "";
         String client = "";
         long instance;
@@ -51,7 +51,7 @@
     }
 
     static final class Taken {
-        long errand;
+        long request;
         boolean expired;
         long position;
         List<Message> messages = new ArrayList<>();
@@ -61,7 +61,7 @@
 
     /** Asks for the next piece of a topic's older messages, behind one index and up to another. */
     static final class Further {
-        long errand;
+        long request;
         String topic = "";
         long after;
         long upTo;
@@ -98,12 +98,12 @@
 
     /** A client of the edge asks how many subscribe a topic. */
     static final class Tally {
-        long errand;
+        long request;
         String topic = "";
     }
 
     static final class Tallied {
-        long errand;
+        long request;
         int count;
     }
 }
--- a/src/main/java/yewjunction/herald/Warp.java
+++ b/src/main/java/yewjunction/herald/Warp.java
@@ -11,7 +11,7 @@
 import yewjunction.herald.Letters.Tallied;
 import yewjunction.herald.Letters.Tally;
 import yewjunction.roster.Roster;
-import yewjunction.roster.Sibling;
+import yewjunction.roster.Peer;
 import yewjunction.weave.Weave;
 
 import static yewjunction.base.Limits.COUNTING_MS;
@@ -68,7 +68,7 @@
             askOthers();
         }
         final Tallied tallied = new Tallied();
-        tallied.errand = tally.errand;
+        tallied.request = tally.request;
         tallied.count = weave.count(tally.topic, live);
         link.send(tallied);
     }
@@ -94,20 +94,20 @@
      * counts each home tells of its own edges, and no more: with clients coming and going every part changes every second.
      */
     private void compare() {
-        final Map<String, Sibling> partners = new HashMap<>();
-        final List<Sibling> homes = roster.up("vault");
+        final Map<String, Peer> partners = new HashMap<>();
+        final List<Peer> homes = roster.up("vault");
         java.util.Collections.shuffle(homes, pulse.luck());
-        for (final Sibling sibling : homes) {
-            if (sibling.ready) {
-                partners.putIfAbsent(sibling.zone, sibling);
+        for (final Peer peer : homes) {
+            if (peer.ready) {
+                partners.putIfAbsent(peer.zone, peer);
             }
         }
         final boolean heals = rounds % GOSSIP_HEAL_EVERY == 0;
-        partners.forEach((zone, sibling) -> {
+        partners.forEach((zone, peer) -> {
             final boolean inside = zone.equals(roster.self().zone);
             // Both sides give and take; across zones only a little of what no home tells of itself.
             if (inside || heals) {
-                shuttle.compare(post.dial(sibling.address), inside ? GAUGE_CELLS : GAUGE_EDGE_CELLS, true);
+                shuttle.compare(post.dial(peer.address), inside ? GAUGE_CELLS : GAUGE_EDGE_CELLS, true);
             }
         });
         if (pulse.nowMs() - countingMs < COUNTING_MS || rounds % GOSSIP_ACROSS_EVERY == 0) {
@@ -117,7 +117,7 @@
 
     /** Each home of another zone tells of its own edges. */
     private void askOthers() {
-        roster.up("vault").stream().filter(sibling -> sibling.ready && !sibling.zone.equals(roster.self().zone))
-            .forEach(sibling -> shuttle.compareOwn(post.dial(sibling.address)));
+        roster.up("vault").stream().filter(peer -> peer.ready && !peer.zone.equals(roster.self().zone))
+            .forEach(peer -> shuttle.compareOwn(post.dial(peer.address)));
     }
 }
--- a/src/main/java/yewjunction/herald/Weft.java
+++ b/src/main/java/yewjunction/herald/Weft.java
@@ -31,7 +31,7 @@
     private final Shuttle shuttle;
     private final Supplier<Link> home;
     private final Map<Long, Question> questions = new HashMap<>();
-    private long errands;
+    private long requests;
     private long rounds;
 
     private record Question(long atMs, IntConsumer answer) {
@@ -49,7 +49,7 @@
             changed.run();
         });
         post.on(Tallied.class, (link, tallied) -> {
-            final Question question = questions.remove(tallied.errand);
+            final Question question = questions.remove(tallied.request);
             if (question != null) {
                 question.answer.accept(tallied.count);
             }
@@ -78,9 +78,9 @@
             return false;
         }
         final Tally tally = new Tally();
-        tally.errand = ++errands;
+        tally.request = ++requests;
         tally.topic = topic;
-        questions.put(tally.errand, new Question(pulse.nowMs(), answer));
+        questions.put(tally.request, new Question(pulse.nowMs(), answer));
         return chosenHome.send(tally);
     }
 
@@ -97,11 +97,11 @@
     }
 
     /** Early word of a new instance, and the subscription it stands for. */
-    public void notice(final long errand, final String topic, final String client, final long instance, final long position) {
+    public void notice(final long request, final String topic, final String client, final long instance, final long position) {
         final Link chosenHome = home.get();
         if (chosenHome != null) {
             final Notice notice = new Notice();
-            notice.errand = errand;
+            notice.request = request;
             notice.topic = topic;
             notice.client = client;
             notice.instance = instance;
@@ -111,11 +111,11 @@
     }
 
     /** The next piece of older messages. */
-    public void further(final long errand, final String topic, final long after, final long upTo) {
+    public void further(final long request, final String topic, final long after, final long upTo) {
         final Link chosenHome = home.get();
         if (chosenHome != null) {
             final Further further = new Further();
-            further.errand = errand;
+            further.request = request;
             further.topic = topic;
             further.after = after;
             further.upTo = upTo;
--- a/src/main/java/yewjunction/ledger/Course.java
+++ b/src/main/java/yewjunction/ledger/Course.java
@@ -155,7 +155,7 @@
         });
     }
 
-    /** A tail stays for siblings that were away a short while: so many entries, and not too many bytes. */
+    /** A tail stays for peers that were away a short while: so many entries, and not too many bytes. */
     private long tailStart() {
         long start = applied;
         long bytes = 0;
--- a/src/main/java/yewjunction/ledger/Electorate.java
+++ b/src/main/java/yewjunction/ledger/Electorate.java
@@ -178,7 +178,7 @@
         }
     }
 
-    /** The first sibling that holds everything is told to stand. */
+    /** The first peer that holds everything is told to stand. */
     void handOn(final String identity, final Standing standing) {
         if (handing && !handed && !identity.equals(ledger.identity()) && standing.match == ledger.log.lastIndex()
             && ledger.voters().contains(identity) && ledger.pulse.nowMs() - standing.heardMs < 3 * BEAT_MS) {
--- a/src/main/java/yewjunction/ledger/Following.java
+++ b/src/main/java/yewjunction/ledger/Following.java
@@ -23,17 +23,17 @@
         this.ledger = ledger;
     }
 
-    void join(final String siblingAddress, final boolean wantsVote) {
+    void join(final String peerAddress, final boolean wantsVote) {
         final Join join = ledger.addressed(new Join(), null);
         join.wantsVote = wantsVote;
-        ledger.introductions.send(ledger.post.dial(siblingAddress), join);
+        ledger.introductions.send(ledger.post.dial(peerAddress), join);
     }
 
     void ask(final Link link, final Ask ask) {
         final Archive archive = ledger.archive;
         final boolean logServes = ask.lastTerm > ledger.log.lastTerm()
             || ask.lastTerm == ledger.log.lastTerm() && ask.lastIndex >= ledger.log.lastIndex();
-        // Whoever hears a leader keeps to it: a sibling with a bad link must not unseat a good leader.
+        // Whoever hears a leader keeps to it: a peer with a bad link must not unseat a good leader.
         if (ledger.heardLately() && !ask.handedOver) {
             answer(link, ask, false, archive.term);
             return;
--- a/src/main/java/yewjunction/ledger/Images.java
+++ b/src/main/java/yewjunction/ledger/Images.java
@@ -18,7 +18,7 @@
     private final Map<String, Sending> sendings = new HashMap<>();
     private Receiving receiving;
 
-    /** One snapshot for one sibling. */
+    /** One snapshot for one peer. */
     private record Sending(long lastIndex, long lastTerm, List<String> voters, byte[] state) {
     }
 
@@ -68,7 +68,7 @@
         if (ledger.leadsTerm() && standing != null && sending != null && sending.lastIndex == answer.lastIndex) {
             standing.heardMs = ledger.pulse.nowMs();
             if (answer.held >= sending.state.length) {
-                // The rest is the ledger's: the sibling answers once it has the whole on disk.
+                // The rest is the ledger's: the peer answers once it has the whole on disk.
                 sendings.remove(answer.from);
             } else {
                 piece(answer.from, standing, sending, answer.held, standing.heardMs);
--- a/src/main/java/yewjunction/ledger/Leading.java
+++ b/src/main/java/yewjunction/ledger/Leading.java
@@ -145,7 +145,7 @@
         }
     }
 
-    /** What was lost with a link shows at the next beat: it names an entry that the sibling lacks, and is denied. */
+    /** What was lost with a link shows at the next beat: it names an entry that the peer lacks, and is denied. */
     private void send(final String identity, final Standing standing) {
         final long nowMs = ledger.pulse.nowMs();
         final Log log = ledger.log;
@@ -165,7 +165,7 @@
         append.commit = ledger.commit();
         append.round = rounds.newest();
         append.quiet = !wanted;
-        // A silent sibling gets beats only: what it misses would pile up on its link.
+        // A silent peer gets beats only: what it misses would pile up on its link.
         if (!silent) {
             append.entries = log.slice(standing.next, APPEND_ENTRIES, APPEND_BYTES);
         }
--- a/src/main/java/yewjunction/ledger/Ledger.java
+++ b/src/main/java/yewjunction/ledger/Ledger.java
@@ -146,8 +146,8 @@
     }
 
     /** Asks whoever leads to bring this member up to date. */
-    public void join(final String siblingAddress, final boolean wantsVote) {
-        following.join(siblingAddress, wantsVote);
+    public void join(final String peerAddress, final boolean wantsVote) {
+        following.join(peerAddress, wantsVote);
     }
 
     /** Takes the group's letters from the post. */
--- a/src/main/java/yewjunction/ledger/Letters.java
+++ b/src/main/java/yewjunction/ledger/Letters.java
@@ -82,7 +82,7 @@
         long round;
     }
 
-    /** A piece of a snapshot, for a sibling too far behind; the next one follows its answer. */
+    /** A piece of a snapshot, for a peer too far behind; the next one follows its answer. */
     static final class Image extends Letter {
         long lastIndex;
         long lastTerm;
@@ -93,7 +93,7 @@
         byte[] piece = new byte[0];
     }
 
-    /** How much of a snapshot a sibling holds. */
+    /** How much of a snapshot a peer holds. */
     static final class ImageAnswer extends Letter {
         long lastIndex;
         int held;
--- a/src/main/java/yewjunction/ledger/Standing.java
+++ b/src/main/java/yewjunction/ledger/Standing.java
@@ -2,7 +2,7 @@
 
 import static yewjunction.base.Limits.VOTER_LAGS_MS;
 
-/** How far a sibling is. */
+/** How far a peer is. */
 final class Standing {
     long next;
     long match;
@@ -14,7 +14,7 @@
     /** Who hands entries on to it inside its zone, null while the leader does; and when it was told so last. */
     String relay;
     long relayToldMs;
-    /** What was committed when this was last looked at, and since when the sibling has not taken it. */
+    /** What was committed when this was last looked at, and since when the peer has not taken it. */
     private long goal;
     private long goalMs;
 
--- a/src/main/java/yewjunction/ledger/Tempo.java
+++ b/src/main/java/yewjunction/ledger/Tempo.java
@@ -7,7 +7,7 @@
 import static yewjunction.base.Limits.LATE_SHARE;
 import static yewjunction.base.Limits.LATE_WEIGHT;
 
-/** Whether this leader's own links or machine hold everybody up: when all siblings answer late, it is the one to go. */
+/** Whether this leader's own links or machine hold everybody up: when all peers answer late, it is the one to go. */
 final class Tempo {
     private final Ledger ledger;
     private final Leading leading;
--- a/src/main/java/yewjunction/loom/Wire.java
+++ b/src/main/java/yewjunction/loom/Wire.java
@@ -20,7 +20,7 @@
 import static yewjunction.base.Limits.LINK_QUEUE_BYTES;
 import static yewjunction.base.Limits.LINK_SILENCE_MS;
 
-/** One sibling link: frames of four bytes of length and a letter; length 0 is a beat. */
+/** One peer link: frames of four bytes of length and a letter; length 0 is a beat. */
 final class Wire implements Link, Loom.Taker {
     private final Wires owner;
     private final Loom loom;
@@ -80,7 +80,7 @@
         outbox.putInt(bytes.length);
         outbox.put(bytes, 0, bytes.length);
         spokeMs = loom.nowMs();
-        // A sibling that does not read is cut, never waited for.
+        // A peer that does not read is cut, never waited for.
         if (outbox.size() > LINK_QUEUE_BYTES) {
             Event.LINK_SLOW.warn(remote);
             close();
--- a/src/main/java/yewjunction/loom/Wires.java
+++ b/src/main/java/yewjunction/loom/Wires.java
@@ -22,7 +22,7 @@
 import static yewjunction.base.Limits.BACKLOG;
 import static yewjunction.base.Limits.LINK_BEAT_MS;
 
-/** All sibling links of a process over TCP. */
+/** All peer links of a process over TCP. */
 public final class Wires implements Post {
     private final Loom loom;
     private final Codec codec;
@@ -43,7 +43,7 @@
             server.configureBlocking(false);
             server.register(loom.selector(), SelectionKey.OP_ACCEPT, (Loom.Taker) key -> take(server));
         } catch (final IOException defect) {
-            throw new UncheckedIOException("cannot listen for siblings on " + own, defect);
+            throw new UncheckedIOException("cannot listen for peers on " + own, defect);
         }
         loom.every(LINK_BEAT_MS / 2, this::beat);
     }
--- a/src/main/java/yewjunction/node/EdgeNode.java
+++ b/src/main/java/yewjunction/node/EdgeNode.java
@@ -15,7 +15,7 @@
 import yewjunction.herald.Envoy;
 import yewjunction.loom.Line;
 import yewjunction.roster.Roster;
-import yewjunction.roster.Sibling;
+import yewjunction.roster.Peer;
 import yewjunction.settings.Settings;
 import yewjunction.weave.Weave;
 
@@ -63,16 +63,16 @@
     /** Vaults, the own zone's first: those the roster knows, and before it knows any, those the core has named. */
     private List<String> vaults() {
         final Set<String> addresses = new LinkedHashSet<>();
-        final List<Sibling> known = roster.up("vault");
+        final List<Peer> known = roster.up("vault");
         final Set<String> retiring = tenure.facts().retiringAddresses();
-        known.stream().filter(sibling -> sibling.zone.equals(settings.zone()) && !retiring.contains(sibling.address))
-            .forEach(sibling -> addresses.add(sibling.address));
+        known.stream().filter(peer -> peer.zone.equals(settings.zone()) && !retiring.contains(peer.address))
+            .forEach(peer -> addresses.add(peer.address));
         final List<String> named = new ArrayList<>(tenure.facts().vaultAddresses(settings.zone(), true));
-        known.forEach(sibling -> named.add(sibling.address));
+        known.forEach(peer -> named.add(peer.address));
         named.addAll(tenure.facts().vaultAddresses(settings.zone(), false));
         for (final String address : named) {
-            final Sibling sibling = roster.at(address);
-            if (!retiring.contains(address) && (sibling == null || sibling.up())) {
+            final Peer peer = roster.at(address);
+            if (!retiring.contains(address) && (peer == null || peer.up())) {
                 addresses.add(address);
             }
         }
--- a/src/main/java/yewjunction/node/Node.java
+++ b/src/main/java/yewjunction/node/Node.java
@@ -3,7 +3,7 @@
 import java.util.List;
 import yewjunction.charter.Tenure;
 import yewjunction.roster.Roster;
-import yewjunction.roster.Sibling;
+import yewjunction.roster.Peer;
 import yewjunction.settings.Settings;
 import yewjunction.weave.Weave;
 
@@ -24,15 +24,15 @@
         return known.isEmpty() ? settings.coreAddresses() : known;
     }
 
-    /** Sibling addresses of a duty, own zone first, as the roster knows them now. */
+    /** Peer addresses of a duty, own zone first, as the roster knows them now. */
     static List<String> addresses(final Roster roster, final String duty) {
-        return roster.up(duty).stream().map(sibling -> sibling.address).toList();
+        return roster.up(duty).stream().map(peer -> peer.address).toList();
     }
 
     /** Whether a replica's clients count as there: its process is up, as far as the roster knows. */
     static boolean live(final long replica, final Weave weave, final Tenure tenure, final Roster roster) {
         final String address = tenure.facts().addressOf(replica);
-        final Sibling sibling = address == null ? null : roster.at(address);
-        return replica == weave.self() || sibling != null && sibling.up();
+        final Peer peer = address == null ? null : roster.at(address);
+        return replica == weave.self() || peer != null && peer.up();
     }
 }
--- a/src/main/java/yewjunction/node/VaultNode.java
+++ b/src/main/java/yewjunction/node/VaultNode.java
@@ -88,7 +88,7 @@
             // Whether there is a seat is the leader's matter.
             final boolean wanted = !tenure.facts().retiringAddresses().contains(address);
             final List<String> asked = ledger.leader() == null ? Node.addresses(roster, "vault") : List.of(Ledger.address(ledger.leader()));
-            asked.forEach(sibling -> ledger.join(sibling, wanted));
+            asked.forEach(peer -> ledger.join(peer, wanted));
         }
         if (ledger.leads()) {
             gate.lending().look(tenure.charter());
@@ -120,7 +120,7 @@
 
     @Override
     public void stop(final Runnable ended) {
-        // Edges leave first; the lead goes to a sibling that holds everything.
+        // Edges leave first; the lead goes to a peer that holds everything.
         home.close();
         ledger.electorate().handOver(() -> {
             ledger.stop();
--- a/src/main/java/yewjunction/roster/Hailer.java
+++ b/src/main/java/yewjunction/roster/Hailer.java
@@ -39,8 +39,8 @@
         others.remove(roster.self().address);
         // Once others are known one of the own zone knows as much, and its bytes cost nothing; the seeds now and then.
         if (pulse.luck().nextInt(HAIL_SEED_EVERY) > 0) {
-            final List<String> near = roster.all().stream().filter(sibling -> sibling.up() && !sibling.duty.equals("tide")
-                && sibling.zone.equals(roster.self().zone)).map(sibling -> sibling.address).sorted().toList();
+            final List<String> near = roster.all().stream().filter(peer -> peer.up() && !peer.duty.equals("tide")
+                && peer.zone.equals(roster.self().zone)).map(peer -> peer.address).sorted().toList();
             if (!near.isEmpty()) {
                 others.clear();
                 others.addAll(near);
@@ -59,8 +59,8 @@
 
     private long digest() {
         long sum = roster.self().digest();
-        for (final Sibling sibling : roster.all()) {
-            sum += sibling.up() ? sibling.digest() : 0;
+        for (final Peer peer : roster.all()) {
+            sum += peer.up() ? peer.digest() : 0;
         }
         return sum;
     }
@@ -72,9 +72,9 @@
             roster.send(from, crew);
             return;
         }
-        for (final Sibling sibling : roster.all()) {
-            if (sibling.up()) {
-                crew.news.add(sibling.copy());
+        for (final Peer peer : roster.all()) {
+            if (peer.up()) {
+                crew.news.add(peer.copy());
             }
             if (crew.news.size() == CREW_PER_LETTER) {
                 roster.send(from, crew);
--- a/src/main/java/yewjunction/roster/Letters.java
+++ b/src/main/java/yewjunction/roster/Letters.java
@@ -14,8 +14,8 @@
     }
 
     abstract static class Letter {
-        Sibling self;
-        List<Sibling> news = new ArrayList<>();
+        Peer self;
+        List<Peer> news = new ArrayList<>();
     }
 
     static final class Probe extends Letter {
--- a/src/main/java/yewjunction/roster/Sibling.java
+++ b/src/main/java/yewjunction/roster/Peer.java
@@ -1,13 +1,13 @@
 package yewjunction.roster;
 
 /** One process of the system as the roster knows it. */
-public final class Sibling {
+public final class Peer {
     static final int UP = 0;
     static final int SUSPECT = 1;
     static final int LEFT = 2;
     static final int GONE = 3;
 
-    /** ip:port for siblings; the key. */
+    /** ip:port for peers; the key. */
     public String address = "";
     public String node = "";
     public String zone = "";
@@ -26,8 +26,8 @@
         number = firstNumber;
     }
 
-    Sibling copy() {
-        final Sibling copied = new Sibling();
+    Peer copy() {
+        final Peer copied = new Peer();
         copied.address = address;
         copied.node = node;
         copied.zone = zone;
@@ -56,7 +56,7 @@
     }
 
     /** Whether this news goes over what is known: a higher number wins, then the worse standing. */
-    boolean over(final Sibling known) {
+    boolean over(final Peer known) {
         return number > known.number || number == known.number && standing > known.standing;
     }
 }
--- a/src/main/java/yewjunction/roster/Prober.java
+++ b/src/main/java/yewjunction/roster/Prober.java
@@ -18,13 +18,13 @@
 import static yewjunction.base.Limits.PROBE_HELPERS;
 import static yewjunction.base.Limits.PROBE_MS;
 
-/** Probes a sibling a period, asks others for a second opinion, and answers for others. */
+/** Probes a peer a period, asks others for a second opinion, and answers for others. */
 final class Prober {
     private final Pulse pulse;
     private final Roster roster;
     private final ArrayDeque<String> nearTurn = new ArrayDeque<>();
     private final ArrayDeque<String> farTurn = new ArrayDeque<>();
-    private final Map<Long, Consumer<Sibling>> awaited = new HashMap<>();
+    private final Map<Long, Consumer<Peer>> awaited = new HashMap<>();
     private long probeNumber;
 
     Prober(final Pulse pulse, final Roster roster) {
@@ -43,13 +43,13 @@
             echo.number = probe.number;
             roster.send(from, echo);
         } else if (letter instanceof Echo echo) {
-            final Consumer<Sibling> awaiting = awaited.remove(echo.number);
+            final Consumer<Peer> awaiting = awaited.remove(echo.number);
             if (awaiting != null) {
                 awaiting.accept(letter.self);
             }
         } else if (letter instanceof Detour detour) {
             final long number = ++probeNumber;
-            awaited.put(number, sibling -> {
+            awaited.put(number, peer -> {
                 final Echo echo = new Echo();
                 echo.number = detour.number;
                 roster.send(from, echo);
@@ -73,7 +73,7 @@
         }
         final long number = ++probeNumber;
         final boolean[] answered = new boolean[1];
-        awaited.put(number, sibling -> answered[0] = true);
+        awaited.put(number, peer -> answered[0] = true);
         final Probe probe = new Probe();
         probe.number = number;
         roster.send(target, probe);
@@ -100,9 +100,9 @@
     private String nextOf(final ArrayDeque<String> turn, final boolean across) {
         if (turn.isEmpty()) {
             final List<String> addresses = new ArrayList<>();
-            for (final Sibling sibling : roster.all()) {
-                if (sibling.up() && sibling.zone.equals(roster.self().zone) != across) {
-                    addresses.add(sibling.address);
+            for (final Peer peer : roster.all()) {
+                if (peer.up() && peer.zone.equals(roster.self().zone) != across) {
+                    addresses.add(peer.address);
                 }
             }
             Collections.sort(addresses);
@@ -114,9 +114,9 @@
 
     private void askOthers(final String target, final long number) {
         final List<String> helpers = new ArrayList<>();
-        for (final Sibling sibling : roster.all()) {
-            if (sibling.standing == Sibling.UP && sibling.zone.equals(roster.self().zone) && !sibling.address.equals(target)) {
-                helpers.add(sibling.address);
+        for (final Peer peer : roster.all()) {
+            if (peer.standing == Peer.UP && peer.zone.equals(roster.self().zone) && !peer.address.equals(target)) {
+                helpers.add(peer.address);
             }
         }
         Collections.shuffle(helpers, pulse.luck());
--- a/src/main/java/yewjunction/roster/Roster.java
+++ b/src/main/java/yewjunction/roster/Roster.java
@@ -25,17 +25,17 @@
 /** Membership by probing, second opinions and suspicion (SWIM). Its removals change no voters and no data. */
 public final class Roster {
     private final Pulse pulse;
-    private final Sibling self;
+    private final Peer self;
     private final BiConsumer<String, Object> sender;
-    private final Map<String, Sibling> siblings = new HashMap<>();
+    private final Map<String, Peer> peers = new HashMap<>();
     private final Map<String, Long> changedMs = new HashMap<>();
     private final Map<String, Integer> newsLeft = new LinkedHashMap<>();
     private final Prober prober;
-    private Function<Sibling, String> planned = sibling -> null;
+    private Function<Peer, String> planned = peer -> null;
     private final Hailer hailer;
     private boolean left;
 
-    public Roster(final Pulse pulse, final Sibling self, final BiConsumer<String, Object> sender) {
+    public Roster(final Pulse pulse, final Peer self, final BiConsumer<String, Object> sender) {
         this.pulse = pulse;
         this.self = self;
         this.sender = sender;
@@ -43,7 +43,7 @@
         hailer = new Hailer(pulse, this);
     }
 
-    /** Seeds are sibling addresses of crux processes; some may be stale. */
+    /** Seeds are peer addresses of crux processes; some may be stale. */
     public void start(final List<String> firstSeeds) {
         hailer.seeds(firstSeeds);
         hailer.start();
@@ -58,35 +58,35 @@
         return left;
     }
 
-    public Sibling self() {
+    public Peer self() {
         return self;
     }
 
-    public Collection<Sibling> all() {
-        return Collections.unmodifiableCollection(siblings.values());
+    public Collection<Peer> all() {
+        return Collections.unmodifiableCollection(peers.values());
     }
 
-    /** Siblings of a duty that are up, own zone first, without this process. */
-    public List<Sibling> up(final String duty) {
-        final List<Sibling> chosen = new ArrayList<>();
-        for (final Sibling sibling : siblings.values()) {
-            if (sibling.up() && sibling.duty.equals(duty)) {
-                chosen.add(sibling);
+    /** Peers of a duty that are up, own zone first, without this process. */
+    public List<Peer> up(final String duty) {
+        final List<Peer> chosen = new ArrayList<>();
+        for (final Peer peer : peers.values()) {
+            if (peer.up() && peer.duty.equals(duty)) {
+                chosen.add(peer);
             }
         }
-        chosen.sort(java.util.Comparator.comparing((Sibling sibling) -> !sibling.zone.equals(self.zone))
-            .thenComparing(sibling -> sibling.address));
+        chosen.sort(java.util.Comparator.comparing((Peer peer) -> !peer.zone.equals(self.zone))
+            .thenComparing(peer -> peer.address));
         return chosen;
     }
 
-    public Sibling at(final String address) {
-        return siblings.get(address);
+    public Peer at(final String address) {
+        return peers.get(address);
     }
 
     /** The zone of an address, empty when it is not known. */
     public String zoneAt(final String address) {
-        final Sibling sibling = address.equals(self.address) ? self : siblings.get(address);
-        return sibling == null ? "" : sibling.zone;
+        final Peer peer = address.equals(self.address) ? self : peers.get(address);
+        return peer == null ? "" : peer.zone;
     }
 
     public void ready(final boolean ready) {
@@ -99,12 +99,12 @@
     /** Says goodbye, so that nobody suspects first. */
     public void leave() {
         left = true;
-        self.standing = Sibling.LEFT;
+        self.standing = Peer.LEFT;
         self.ready = false;
         raise(self.number + 1);
-        for (final Sibling sibling : siblings.values()) {
-            if (sibling.up() && sibling.zone.equals(self.zone)) {
-                send(sibling.address, new Echo());
+        for (final Peer peer : peers.values()) {
+            if (peer.up() && peer.zone.equals(self.zone)) {
+                send(peer.address, new Echo());
             }
         }
     }
@@ -119,50 +119,50 @@
         newsLeft.put(address, NEWS_TIMES);
     }
 
-    /** Who explains why a sibling may be away: planned work, or null for none. */
-    public void planned(final Function<Sibling, String> explainer) {
+    /** Who explains why a peer may be away: planned work, or null for none. */
+    public void planned(final Function<Peer, String> explainer) {
         planned = explainer;
     }
 
-    private String about(final Sibling sibling) {
-        final String work = planned.apply(sibling);
-        return sibling.node + " " + sibling.duty + (work == null ? "" : " planned: " + work);
+    private String about(final Peer peer) {
+        final String work = planned.apply(peer);
+        return peer.node + " " + peer.duty + (work == null ? "" : " planned: " + work);
     }
 
     void suspect(final String address) {
-        final Sibling sibling = siblings.get(address);
-        if (sibling != null && sibling.standing == Sibling.UP) {
-            Event.SIBLING_SUSPECT.info(about(sibling));
-            change(sibling, Sibling.SUSPECT);
-            tellSuspect(sibling);
+        final Peer peer = peers.get(address);
+        if (peer != null && peer.standing == Peer.UP) {
+            Event.SIBLING_SUSPECT.info(about(peer));
+            change(peer, Peer.SUSPECT);
+            tellSuspect(peer);
         }
     }
 
     /** Told at once and again, so that it can refute before the time is over though datagrams get lost. */
-    private void tellSuspect(final Sibling sibling) {
-        if (siblings.get(sibling.address) == sibling && sibling.standing == Sibling.SUSPECT && !left) {
-            send(sibling.address, new Echo());
-            pulse.after(SUSPECT_MS / 4, () -> tellSuspect(sibling));
+    private void tellSuspect(final Peer peer) {
+        if (peers.get(peer.address) == peer && peer.standing == Peer.SUSPECT && !left) {
+            send(peer.address, new Echo());
+            pulse.after(SUSPECT_MS / 4, () -> tellSuspect(peer));
         }
     }
 
-    private void change(final Sibling sibling, final int standing) {
-        sibling.standing = standing;
-        changedMs.put(sibling.address, pulse.nowMs());
-        tell(sibling.address);
+    private void change(final Peer peer, final int standing) {
+        peer.standing = standing;
+        changedMs.put(peer.address, pulse.nowMs());
+        tell(peer.address);
     }
 
     void sweep() {
         final long nowMs = pulse.nowMs();
-        for (final Iterator<Sibling> each = siblings.values().iterator(); each.hasNext();) {
-            final Sibling sibling = each.next();
-            final long sinceMs = nowMs - changedMs.getOrDefault(sibling.address, nowMs);
-            if (sibling.standing == Sibling.SUSPECT && sinceMs > SUSPECT_MS) {
-                Event.SIBLING_GONE.info(about(sibling));
-                change(sibling, Sibling.GONE);
-            } else if (!sibling.up() && sinceMs > GONE_MS) {
+        for (final Iterator<Peer> each = peers.values().iterator(); each.hasNext();) {
+            final Peer peer = each.next();
+            final long sinceMs = nowMs - changedMs.getOrDefault(peer.address, nowMs);
+            if (peer.standing == Peer.SUSPECT && sinceMs > SUSPECT_MS) {
+                Event.SIBLING_GONE.info(about(peer));
+                change(peer, Peer.GONE);
+            } else if (!peer.up() && sinceMs > GONE_MS) {
                 each.remove();
-                changedMs.remove(sibling.address);
+                changedMs.remove(peer.address);
             }
         }
     }
@@ -170,8 +170,8 @@
     void send(final String address, final Letter letter) {
         letter.self = self.copy();
         // Whoever is thought to be away hears so first: a restarted or wrongly suspected one then refutes it.
-        final Sibling receiver = siblings.get(address);
-        if (receiver != null && receiver.standing != Sibling.UP) {
+        final Peer receiver = peers.get(address);
+        if (receiver != null && receiver.standing != Peer.UP) {
             letter.news.add(receiver.copy());
         }
         for (final String about : List.copyOf(newsLeft.keySet())) {
@@ -182,7 +182,7 @@
             if (left <= 0) {
                 newsLeft.remove(about);
             }
-            final Sibling known = siblings.get(about);
+            final Peer known = peers.get(about);
             if (known != null) {
                 letter.news.add(known.copy());
             }
@@ -209,19 +209,19 @@
         }
     }
 
-    private void hear(final Sibling news, final boolean passedOn) {
+    private void hear(final Peer news, final boolean passedOn) {
         if (news.address.equals(self.address)) {
             // News of an earlier life, or a suspicion: refuted by a higher number.
-            if (!left && news.number >= self.number && (news.life != self.life || news.standing != Sibling.UP)) {
+            if (!left && news.number >= self.number && (news.life != self.life || news.standing != Peer.UP)) {
                 raise(news.number + 1);
             }
             return;
         }
-        final Sibling known = siblings.get(news.address);
+        final Peer known = peers.get(news.address);
         if (known == null) {
             // Someone unknown who is gone already is no news.
             if (news.up()) {
-                siblings.put(news.address, news);
+                peers.put(news.address, news);
                 changedMs.put(news.address, pulse.nowMs());
                 if (passedOn) {
                     tell(news.address);
@@ -229,7 +229,7 @@
                 Event.SIBLING_JOINED.info(news.node + " " + news.duty);
             }
         } else if (news.over(known)) {
-            siblings.put(news.address, news);
+            peers.put(news.address, news);
             change(news, news.standing);
         }
     }
--- a/src/main/java/yewjunction/settings/Settings.java
+++ b/src/main/java/yewjunction/settings/Settings.java
@@ -134,7 +134,7 @@
         return number.doubleValue();
     }
 
-    /** Sibling addresses of the cruxes on the seeds' machines: ports are alike on all. */
+    /** Peer addresses of the cruxes on the seeds' machines: ports are alike on all. */
     public List<String> coreAddresses() {
         return seeds.stream().map(seed -> Addresses.ip(seed) + ":" + (firstPort + CRUX_OFFSET)).distinct().toList();
     }
--- a/src/test/java/yewjunction/app/DoctorTest.java
+++ b/src/test/java/yewjunction/app/DoctorTest.java
@@ -51,9 +51,9 @@
     }
 
     private static String outlook(final boolean leads, final String leader, final boolean votes, final int version,
-            final String siblings, final String vaults) {
+            final String peers, final String vaults) {
         return "{\"Nodename\":\"n\",\"Leads\":" + leads + ",\"Leader\":\"" + leader + "\",\"Votes\":" + votes
-            + ",\"Voters\":[\"a:1\",\"b:1\",\"c:1\"],\"Applied\":9,\"Ver\":" + version + ",\"Siblings\":[" + siblings
+            + ",\"Voters\":[\"a:1\",\"b:1\",\"c:1\"],\"Applied\":9,\"Ver\":" + version + ",\"Siblings\":[" + peers
             + "],\"Vaults\":[" + vaults + "]}";
     }
 
@@ -117,13 +117,13 @@
 
     @Test
     void edgesAndVaultsInTroubleAreTold() throws IOException {
-        final String siblings = "{\"Nodename\":\"e1\",\"Duty\":\"tide\",\"Az\":\"z\",\"Addr\":\"1\",\"Up\":true,\"Suspect\":false,\"Ready\":false},"
+        final String peers = "{\"Nodename\":\"e1\",\"Duty\":\"tide\",\"Az\":\"z\",\"Addr\":\"1\",\"Up\":true,\"Suspect\":false,\"Ready\":false},"
             + "{\"Nodename\":\"e2\",\"Duty\":\"tide\",\"Az\":\"z\",\"Addr\":\"2\",\"Up\":true,\"Suspect\":true,\"Ready\":true}";
         final String vaults = "{\"Nodename\":\"v1\",\"Applied\":9000,\"SeenMs\":10},{\"Nodename\":\"v2\",\"Applied\":20,\"SeenMs\":10},"
             + "{\"Nodename\":\"v3\",\"Applied\":9000,\"SeenMs\":60000}";
         final List<String> seeds = new ArrayList<>();
         for (int i = 0; i < 3; i++) {
-            seeds.add(serve(200, outlook(i == 0, "a:1", true, 3, siblings, i == 0 ? vaults : "")));
+            seeds.add(serve(200, outlook(i == 0, "a:1", true, 3, peers, i == 0 ? vaults : "")));
         }
         assertEquals(Set.of(Code.EDGE_NOT_READY, Code.SIBLING_SUSPECT, Code.VAULTS_FEW, Code.VAULT_BEHIND, Code.VAULT_SILENT),
             codes(settings(seeds), null));
--- a/src/test/java/yewjunction/capacity/Fleet.java
+++ b/src/test/java/yewjunction/capacity/Fleet.java
@@ -95,7 +95,7 @@
         for (int attempt = 0; attempt < 60 && !taken[0]; attempt++) {
             final String crux = cruxes.get(attempt % cruxes.size());
             final byte[] body = json.toString().getBytes(StandardCharsets.UTF_8);
-            world.host(crux).post(() -> ((CruxNode) nodes.get(crux)).desk().take(new Desk.Errand("POST", "/-/config/replace",
+            world.host(crux).post(() -> ((CruxNode) nodes.get(crux)).desk().take(new Desk.Request("POST", "/-/config/replace",
                 String.valueOf(version), body), answer -> taken[0] |= answer.status() == 200));
             world.runUntil(() -> taken[0], 300);
         }
--- a/src/test/java/yewjunction/dock/WordsTest.java
+++ b/src/test/java/yewjunction/dock/WordsTest.java
@@ -22,7 +22,7 @@
         final String stream = "HELLO c k\r\nSUB t.1 17\r\nPUB t.1 4 20\r\nabcdefghijklmnopqrst\r\nPING\r\nWHO -\r\n";
         final List<String> expected = List.of("HELLO", "SUB", "PUB", "PING", "WHO");
         final Random luck = new Random(3);
-        for (int shot = 0; shot < 300; shot++) {
+        for (int attempt = 0; attempt < 300; attempt++) {
             final List<String> read = new ArrayList<>();
             byte[] unread = new byte[0];
             int sent = 0;
@@ -70,7 +70,7 @@
     void noBytesBreakTheReader() {
         final Random luck = new Random(5);
         final String[] pieces = {"PUB ", "SUB ", "t ", "20", "-1", "\r\n", "\n", "\0", "\u00ff", " ", "-", "9999999999999999999"};
-        for (int shot = 0; shot < 20_000; shot++) {
+        for (int attempt = 0; attempt < 20_000; attempt++) {
             final StringBuilder text = new StringBuilder();
             for (int i = luck.nextInt(9); i >= 0; i--) {
                 text.append(pieces[luck.nextInt(pieces.length)]);
--- a/src/test/java/yewjunction/ledger/RecordTest.java
+++ b/src/test/java/yewjunction/ledger/RecordTest.java
@@ -37,10 +37,10 @@
     @Test
     void aBadRecordBeforeOnesWrittenAfterItsSyncIsDamage() {
         final Random luck = new Random(1);
-        for (int shot = 0; shot < 200; shot++) {
+        for (int attempt = 0; attempt < 200; attempt++) {
             final byte[] bytes = file(6, true);
             bytes[luck.nextInt(bytes.length / 6 * 4)] ^= 1 << luck.nextInt(8);
-            assertTrue(Record.read(bytes).damaged(), "shot " + shot);
+            assertTrue(Record.read(bytes).damaged(), "attempt " + attempt);
         }
     }
 
--- a/src/test/java/yewjunction/roster/RosterSimTest.java
+++ b/src/test/java/yewjunction/roster/RosterSimTest.java
@@ -21,15 +21,15 @@
     private void boot(final String address) {
         final Host host = world.host(address);
         host.boot();
-        final Sibling self = new Sibling();
+        final Peer self = new Peer();
         self.address = address;
         self.node = "node-" + address;
         self.zone = "zone" + address.charAt(1);
         self.duty = "tide";
         self.life = ++lives;
         final Roster roster = new Roster(host, self, host::datagram);
-        roster.planned(sibling -> {
-            explained.add(sibling.node);
+        roster.planned(peer -> {
+            explained.add(peer.node);
             return "work";
         });
         host.onDatagram(roster::take);
@@ -48,11 +48,11 @@
 
     private boolean allSee(final String address, final boolean up) {
         return rosters.entrySet().stream().filter(one -> !one.getKey().equals(address) && world.host(one.getKey()).up())
-            .allMatch(one -> one.getValue().up("tide").stream().anyMatch(sibling -> sibling.address.equals(address)) == up);
+            .allMatch(one -> one.getValue().up("tide").stream().anyMatch(peer -> peer.address.equals(address)) == up);
     }
 
     @Test
-    void aDeadSiblingIsMissedByAllAndItsRestartIsSeen() {
+    void aDeadPeerIsMissedByAllAndItsRestartIsSeen() {
         begin(1);
         world.host("b1:7").powerOff();
         assertTrue(world.runUntil(() -> allSee("b1:7", false), 15_000));
--- a/src/test/java/yewjunction/sim/Machines.java
+++ b/src/test/java/yewjunction/sim/Machines.java
@@ -5,7 +5,7 @@
 import yewjunction.node.Node;
 import yewjunction.node.VaultNode;
 import yewjunction.roster.Roster;
-import yewjunction.roster.Sibling;
+import yewjunction.roster.Peer;
 import yewjunction.settings.Settings;
 
 /** Starts a process's real code on a simulated machine, as the command line does on a real one. */
@@ -18,7 +18,7 @@
 
     public static Running boot(final Host host, final Settings settings, final String duty, final long life) {
         final SimPost post = host.boot();
-        final Sibling self = new Sibling();
+        final Peer self = new Peer();
         self.address = host.address;
         self.node = settings.node();
         self.zone = settings.zone();
--- a/src/test/java/yewjunction/system/OperatorSimTest.java
+++ b/src/test/java/yewjunction/system/OperatorSimTest.java
@@ -17,9 +17,9 @@
 
     private Desk.Answer ask(final String method, final String path, final String base, final String body) {
         final List<Desk.Answer> answers = new ArrayList<>();
-        for (int shot = 0; shot < 20; shot++) {
+        for (int attempt = 0; attempt < 20; attempt++) {
             answers.clear();
-            town.call(town.all("crux").get(shot % 3), method, path, Long.parseLong(base), body, answers::add);
+            town.call(town.all("crux").get(attempt % 3), method, path, Long.parseLong(base), body, answers::add);
             town.world.runUntil(() -> !answers.isEmpty(), 1_000);
             if (!answers.isEmpty() && answers.get(0).status() != 307 && answers.get(0).status() != 503) {
                 return answers.get(0);
@@ -79,8 +79,8 @@
             final List<Long> won = new ArrayList<>();
             for (int operator = 0; operator < 2; operator++) {
                 final long next = base + 1 + operator;
-                for (int shot = 0; shot < 3; shot++) {
-                    town.call(town.all("crux").get(shot), "POST", "/-/config/replace", base, config(next), answer -> {
+                for (int attempt = 0; attempt < 3; attempt++) {
+                    town.call(town.all("crux").get(attempt), "POST", "/-/config/replace", base, config(next), answer -> {
                         if (answer.status() == 200 && !won.contains(next)) {
                             won.add(next);
                         }
--- a/src/test/java/yewjunction/system/Town.java
+++ b/src/test/java/yewjunction/system/Town.java
@@ -123,7 +123,7 @@
             final Consumer<Desk.Answer> answer) {
         final Host host = world.host(crux);
         if (host.up()) {
-            host.post(() -> ((CruxNode) nodes.get(crux)).desk().take(new Desk.Errand(method, path, String.valueOf(base),
+            host.post(() -> ((CruxNode) nodes.get(crux)).desk().take(new Desk.Request(method, path, String.valueOf(base),
                 body.getBytes(StandardCharsets.UTF_8)), answer));
         }
     }
@@ -131,8 +131,8 @@
     /** Keeps calling until one crux answers with that status. */
     Desk.Answer insist(final String method, final String path, final long base, final String body, final int status) {
         final Desk.Answer[] got = new Desk.Answer[1];
-        for (int shot = 0; shot < 60 && got[0] == null; shot++) {
-            call(all("crux").get(shot % 3), method, path, base, body, answer -> {
+        for (int attempt = 0; attempt < 60 && got[0] == null; attempt++) {
+            call(all("crux").get(attempt % 3), method, path, base, body, answer -> {
                 if (answer.status() == status) {
                     got[0] = answer;
                 }
