The first questions go to seeds; a newcomer's call is passed on to the leader

SpareSimTest found messages that clients lacked at the end in 5 of 16 worlds: after all had started together each asked its equally ignorant neighbours, so edges and a returning spare knew too few stores for ten seconds. With the first five questions to seeds: none of 16.

--- a/src/main/java/yewjunction/base/Limits.java
+++ b/src/main/java/yewjunction/base/Limits.java
@@ -116,7 +116,7 @@
     public static final long JOIN_MS = 300;
     /** ms; the slowest pace of asking again, and how many of these questions go to one seed: heals a roster that split. */
     public static final long REJOIN_MS = 10_000;
-    public static final int HAIL_SEED_EVERY = 6;
+    public static final int HAIL_SEED_EVERY = 6, HAIL_SEED_FIRST = 5;
     // --- ledger ---
     /** ms; beat of a leader. */
     public static final long BEAT_MS = 100;
--- a/src/main/java/yewjunction/ledger/Letters.java
+++ b/src/main/java/yewjunction/ledger/Letters.java
@@ -106,5 +106,7 @@
     /** A newcomer asks whoever leads to bring it up to date and make it a voter when a place is free. */
     static final class Join extends Letter {
         boolean wantsVote;
+        /** By a member that does not lead itself. */
+        Boolean passedOn;
     }
 }
--- a/src/main/java/yewjunction/ledger/Mail.java
+++ b/src/main/java/yewjunction/ledger/Mail.java
@@ -37,7 +37,15 @@
         on(AppendAnswer.class, (link, answer) -> leading.answered(answer));
         on(Image.class, following::image);
         on(ImageAnswer.class, (link, answer) -> leading.images.answered(answer));
-        on(Join.class, (link, join) -> leading.learn(join.from, join.wantsVote));
+        on(Join.class, (link, join) -> {
+            if (ledger.leadsTerm()) {
+                leading.learn(join.from, join.wantsVote);
+            } else if (join.passedOn == null && ledger.leader() != null) {
+                // The newcomer may not know the leader's machine yet; passed on once, so that it never runs in circles.
+                join.passedOn = true;
+                ledger.post.dial(Ledger.address(ledger.leader())).send(join);
+            }
+        });
         on(HandOver.class, (link, handOver) -> {
             // Only the leader of this very term may name its follower.
             if (handOver.term == ledger.archive.term) {
--- a/src/main/java/yewjunction/roster/Hailer.java
+++ b/src/main/java/yewjunction/roster/Hailer.java
@@ -8,6 +8,7 @@
 
 import static yewjunction.base.Limits.CREW_PER_LETTER;
 import static yewjunction.base.Limits.HAIL_SEED_EVERY;
+import static yewjunction.base.Limits.HAIL_SEED_FIRST;
 import static yewjunction.base.Limits.JOIN_MS;
 import static yewjunction.base.Limits.REJOIN_MS;
 
@@ -17,6 +18,7 @@
     private final Roster roster;
     private List<String> seeds = List.of();
     private long paceMs = JOIN_MS;
+    private int hails;
 
     Hailer(final Pulse pulse, final Roster roster) {
         this.pulse = pulse;
@@ -38,7 +40,8 @@
         final List<String> others = new ArrayList<>(seeds);
         others.remove(roster.self().address);
         // Once others are known one of the own zone knows as much, and its bytes cost nothing; the seeds now and then.
-        if (pulse.luck().nextInt(HAIL_SEED_EVERY) > 0) {
+        // Not at first: where all have started together their neighbours know as little as they do.
+        if (++hails > HAIL_SEED_FIRST && pulse.luck().nextInt(HAIL_SEED_EVERY) > 0) {
             final List<String> near = roster.all().stream().filter(peer -> peer.up() && !peer.duty.equals("tide")
                 && peer.zone.equals(roster.self().zone)).map(peer -> peer.address).sorted().toList();
             if (!near.isEmpty()) {
