--- a/src/main/java/yewjunction/base/Limits.java
+++ b/src/main/java/yewjunction/base/Limits.java
@@ -48,8 +48,8 @@
     public static final int INTAKE_WINDOW = 128;
     /** ms; first and longest pause before a leader that was lost, or that does not lead, is offered messages again. */
     public static final long OFFER_FIRST_MS = 25, OFFER_MOST_MS = 400;
-    /** ms; a SUB gets its final answer by then, before any client resets its link. */
-    public static final long JOIN_ANSWER_MS = 1_000;
+    /** ms; a SUB gets its final answer by then, before any client resets its link; and how many a home is asked at a time. */
+    public static final long JOIN_ANSWER_MS = 1_000, JOIN_WINDOW = 128;
     /** ms; a HELLO waits this long for an edge that is still starting or whose lease is being renewed. */
     public static final long HELLO_ANSWER_MS = 1_000;
     /** ms; an edge whose lease has lapsed for so long lets its clients go: others may still serve them. */
--- a/src/main/java/yewjunction/dock/Boarding.java
+++ b/src/main/java/yewjunction/dock/Boarding.java
@@ -1,5 +1,6 @@
 package yewjunction.dock;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -14,6 +15,7 @@
 import yewjunction.weave.Weave;
 
 import static yewjunction.base.Limits.JOIN_ANSWER_MS;
+import static yewjunction.base.Limits.JOIN_WINDOW;
 
 /** Subscriptions of this edge's clients, from SUB to the home's word, while they catch up, and to their end. */
 final class Boarding {
@@ -24,6 +26,9 @@
     private final Replays replays;
     private final Map<String, List<Sub>> byTopic = new HashMap<>();
     private final Map<Long, Sub> joining = new LinkedHashMap<>();
+    /** Of those that join: which the home was asked about, and which wait for their turn to be. */
+    private final Set<Long> asked = new HashSet<>();
+    private final ArrayDeque<Long> unasked = new ArrayDeque<>();
     /** Subscriptions for which the home was asked for a next piece. */
     private final Map<Long, Sub> fetching = new LinkedHashMap<>();
     private final Set<Sub> filtered = new HashSet<>();
@@ -70,7 +75,23 @@
         sub.instance = weave.add(sub.topic, sub.berth.client);
         final long request = ++requests;
         joining.put(request, sub);
-        notice(request, sub);
+        unasked.add(request);
+        askMore();
+    }
+
+    /**
+     * So many questions at a time: after a mass reconnect all clients of an edge come with old cursors at once, and a home
+     * that gets all of it answers nobody in time, is left as silent, and is asked everything again.
+     */
+    private void askMore() {
+        while (asked.size() < JOIN_WINDOW && !unasked.isEmpty()) {
+            final long request = unasked.poll();
+            final Sub sub = joining.get(request);
+            if (sub != null) {
+                asked.add(request);
+                notice(request, sub);
+            }
+        }
     }
 
     /** Asked once more on the same link, with a filter or without. */
@@ -83,7 +104,10 @@
 
     /** A new home knows nothing of what the old one was asked. */
     void askAgain() {
-        joining.forEach(this::notice);
+        asked.clear();
+        unasked.clear();
+        unasked.addAll(joining.keySet());
+        askMore();
         fetching.forEach(this::further);
     }
 
@@ -103,6 +127,8 @@
 
     /** A home's word on a subscription: where it starts, and the first piece of what lies behind its cursor. */
     void taken(final long request, final boolean expired, final long position, final List<Message> behind, final boolean more) {
+        asked.remove(request);
+        askMore();
         final Sub waiting = fetching.remove(request);
         final Sub sub = waiting != null ? waiting : joining.remove(request);
         if (sub == null || sub.berth.subs.get(sub.topic) != sub) {
