--- a/src/main/java/yewjunction/charter/Charter.java
+++ b/src/main/java/yewjunction/charter/Charter.java
@@ -6,8 +6,6 @@
 import com.typesafe.config.ConfigParseOptions;
 import com.typesafe.config.ConfigRenderOptions;
 import com.typesafe.config.ConfigSyntax;
-import com.typesafe.config.ConfigValue;
-import com.typesafe.config.ConfigValueType;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
--- a/src/main/java/yewjunction/charter/News.java
+++ b/src/main/java/yewjunction/charter/News.java
@@ -57,7 +57,7 @@
         final List<Patch> found = new ArrayList<>();
         int length = 0;
         for (final Patch patch : patches) {
-            if (found.isEmpty() ? patch.base == version : true) {
+            if (!found.isEmpty() || patch.base == version) {
                 found.add(patch);
                 length += patch.json.length();
             }
--- a/src/main/java/yewjunction/dock/Precedence.java
+++ b/src/main/java/yewjunction/dock/Precedence.java
@@ -1,7 +1,6 @@
 package yewjunction.dock;
 
 import yewjunction.charter.Charter;
-import yewjunction.charter.Charter.Space;
 
 import static yewjunction.base.Limits.FRESH_MS;
 import static yewjunction.base.Limits.ORDER_BURST_MS;
--- a/src/main/java/yewjunction/dock/Shipping.java
+++ b/src/main/java/yewjunction/dock/Shipping.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import yewjunction.base.Event;
 import yewjunction.base.Link;
