A member that takes entries from its zone takes their term with them

Cause: a member without a vote fetched committed entries of term 13 from its zone and kept term 12. The leader of term 12, cut off and not yet deposed, then told it to cut them: the invariant "what is committed is never cut" threw, that turn was given up, and so was each later one, so the member stood still. Change: what is fetched names the term of whoever hands it on, and the member follows at least that term. The copy of the waiting requests keeps its order, so that a seed plays the same each time.

--- a/src/main/java/yewjunction/ledger/Relay.java
+++ b/src/main/java/yewjunction/ledger/Relay.java
@@ -69,7 +69,7 @@
     /** More is committed here now. */
     void committed() {
         if (!waiting.isEmpty()) {
-            Map.copyOf(waiting).forEach(this::serve);
+            new LinkedHashMap<>(waiting).forEach(this::serve);
         }
     }
 
@@ -91,6 +91,8 @@
     }
 
     void taken(final Fetched fetched) {
+        // What is taken may be of a later term than the one heard of: a leader of an earlier one must not cut it again.
+        ledger.seen(fetched.term);
         if (source == null || ledger.leadsTerm()) {
             return;
         }
--- a/src/test/java/yewjunction/ledger/RelaySimTest.java
+++ b/src/test/java/yewjunction/ledger/RelaySimTest.java
@@ -63,9 +63,32 @@
     }
 
     @ParameterizedTest
-    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 26, 74, 77, 98, 104, 105, 108})
     void oneHistoryWhoeverFails(final long seed) {
+        history(seed, letter -> { });
+    }
+
+    /** Planted: what a zone hands on says nothing of its term, so a member takes a former leader's word after it. */
+    @Test
+    void aMemberThatKeepsAnEarlierTermThanItsEntriesIsCaught() {
+        int caught = 0;
+        for (final long seed : new long[] {26, 74, 77, 98, 104, 105, 108}) {
+            try {
+                new RelaySimTest().history(seed, letter -> {
+                    if (letter instanceof Letters.Fetched fetched) {
+                        fetched.term = 0;
+                    }
+                });
+            } catch (final IllegalStateException defect) {
+                caught += defect.getMessage().startsWith("cut at") ? 1 : 0;
+            }
+        }
+        assertTrue(caught > 0, "the planted fault showed in no world");
+    }
+
+    private void history(final long seed, final java.util.function.Consumer<Object> tampering) {
         beginWithSpares(seed);
+        ledgers.keySet().forEach(address -> world.host(address).tampering = tampering);
         world.loss = 0.03;
         final List<String> all = List.copyOf(ledgers.keySet());
         for (int round = 0; round < 12; round++) {
