A member without a vote lets go of a former leader and makes itself known to the next

Cause: Election.stand returned for a member without a vote before it let go of its leader, so a spare went on asking the former leader alone. The new leader did not know it: after a planned replacement the machine that had left kept its seat, and the next loss stopped the group. A home that lagged kept its edges all the while. Change: Membership is one mechanism for cruxes and vaults: patience that ends without a vote lets go of the leader and asks all peers; a newly heard leader is told at once. Relays inside a zone go only through members that answer. A retired store counts as emptied once the change of voters is committed.

--- a/src/main/java/yewjunction/charter/Crux.java
+++ b/src/main/java/yewjunction/charter/Crux.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Set;
+import java.util.stream.Stream;
 import yewjunction.base.Post;
 import yewjunction.base.Pulse;
 import yewjunction.ledger.Clerk;
@@ -11,8 +12,6 @@
 import yewjunction.roster.Roster;
 import yewjunction.settings.Settings;
 
-import static yewjunction.base.Limits.ENROL_MS;
-
 /** One member of the core: its ledger, leases, registrations and the operator's desk. */
 public final class Crux implements Core.Watcher {
     /** Group number of the core's ledger. */
@@ -52,16 +51,12 @@
             }
         }
         ledger.start();
-        pulse.every(ENROL_MS, () -> joinWhileOutside(seedAddresses));
+        ledger.membership().keep(() -> others(seedAddresses), () -> votes);
     }
 
-    private void joinWhileOutside(final List<String> seedAddresses) {
-        if (!ledger.voters().contains(ledger.identity()) || ledger.leaderless()) {
-            final List<String> known = new java.util.ArrayList<>(seedAddresses);
-            roster.up("crux").forEach(peer -> known.add(peer.address));
-            known.stream().distinct().filter(address -> !address.equals(ownAddress))
-                .forEach(address -> ledger.join(address, votes));
-        }
+    private List<String> others(final List<String> seedAddresses) {
+        return Stream.concat(seedAddresses.stream(), roster.up("crux").stream().map(peer -> peer.address)).distinct()
+            .filter(address -> !address.equals(ownAddress)).toList();
     }
 
     public Desk desk() {
--- a/src/main/java/yewjunction/herald/Home.java
+++ b/src/main/java/yewjunction/herald/Home.java
@@ -22,6 +22,7 @@
 import yewjunction.weave.Weave;
 
 import static yewjunction.base.Limits.FLOW_ITEMS;
+import static yewjunction.base.ControlLimits.HOME_BEHIND_MS;
 import static yewjunction.base.Limits.HOME_BEAT_MS;
 import static yewjunction.base.Limits.HOME_SILENCE_MS;
 import static yewjunction.base.Limits.REPLAY_PIECE_BYTES;
@@ -77,10 +78,14 @@
         return ledger.leader() == null ? "" : Ledger.address(ledger.leader());
     }
 
+    private boolean serves() {
+        return ledger.leader() != null && ledger.membership().behindMs() <= HOME_BEHIND_MS;
+    }
+
     private void attach(final Link link, final Attach attach) {
         final Welcome welcome = new Welcome();
         // One that hears no leader, or lags behind what the edge has seen, is a poor home.
-        welcome.accepted = !closing && ledger.leader() != null && ledger.applied() >= attach.last;
+        welcome.accepted = !closing && serves() && ledger.applied() >= attach.last;
         welcome.leader = leader();
         if (welcome.accepted) {
             final Port port = new Port();
@@ -200,10 +205,10 @@
 
     private void beat() {
         final long nowMs = pulse.nowMs();
-        if (ledger.leader() != null) {
+        if (serves()) {
             ledMs = nowMs;
         }
-        // Cut off from the others for long: the edges do better elsewhere.
+        // Cut off from the others, or behind them, for long: the edges do better elsewhere.
         if (nowMs - ledMs > 2 * HOME_SILENCE_MS) {
             close();
             closing = false;
--- a/src/main/java/yewjunction/ledger/Election.java
+++ b/src/main/java/yewjunction/ledger/Election.java
@@ -63,7 +63,8 @@
     /** Asks for votes: first only whether they would be given, so that a member cut off raises no terms. */
     void stand(final boolean handedOver) {
         restartClock();
-        if (ledger.identity() == null || !ledger.voters().contains(ledger.identity())) {
+        if (!ledger.membership.seated()) {
+            ledger.membership.patienceEnded();
             return;
         }
         if (handedOver) {
--- a/src/main/java/yewjunction/ledger/Electorate.java
+++ b/src/main/java/yewjunction/ledger/Electorate.java
@@ -48,7 +48,8 @@
         return standing != null && standing.match + CAUGHT_UP_ENTRIES >= ledger.log.lastIndex();
     }
 
-    private boolean changing() {
+    /** Whether a change of the voters is under way: what it decides may still not come to be. */
+    public boolean changing() {
         return ledger.log.lastVotersIndex() > ledger.commit();
     }
 
@@ -114,10 +115,10 @@
             || nowMs - leading.standing(voter).heardMs < APPEND_AGAIN_MS && !leading.standing(voter).lags(nowMs));
         leading.standings.forEach((identity, standing) -> standing.relay = seated && !voters.contains(identity)
             && standing.match + RELAY_ENTRIES >= ledger.commit() && ledger.log.termAt(standing.match) >= 0 && !standing.lags(nowMs)
-            ? relay(Ledger.address(identity), voters) : null);
+            ? relay(Ledger.address(identity), voters, nowMs) : null);
     }
 
-    private String relay(final String address, final List<String> voters) {
+    private String relay(final String address, final List<String> voters, final long nowMs) {
         final String zone = seating.zoneOf().apply(address);
         if (zone.isEmpty()) {
             return null;
@@ -125,8 +126,12 @@
         final List<String> near = new ArrayList<>(voters);
         near.removeIf(voter -> !seating.zoneOf().apply(Ledger.address(voter)).equals(zone));
         if (near.isEmpty()) {
-            // No voter there: the first of the others is served from here and serves the rest.
-            leading.standings.keySet().stream().filter(one -> seating.zoneOf().apply(Ledger.address(one)).equals(zone)).forEach(near::add);
+            // No voter there: the first of the others that answers is served from here and serves the rest.
+            leading.standings.forEach((one, standing) -> {
+                if (seating.zoneOf().apply(Ledger.address(one)).equals(zone) && nowMs - standing.heardMs < 2 * APPEND_AGAIN_MS) {
+                    near.add(one);
+                }
+            });
         }
         final String first = near.stream().map(Ledger::address).min(Comparator.naturalOrder()).orElse(address);
         return first.equals(address) ? null : first;
--- a/src/main/java/yewjunction/ledger/Following.java
+++ b/src/main/java/yewjunction/ledger/Following.java
@@ -83,6 +83,7 @@
         }
         ledger.heardOn(link);
         ledger.relay.source(append.relay);
+        ledger.membership.told(append.commit);
         final boolean behindBase = append.prevIndex < log.baseIndex();
         if (!behindBase && log.termAt(append.prevIndex) != append.prevTerm) {
             answer(link, append, false, Math.min(log.lastIndex(), append.prevIndex - 1));
--- a/src/main/java/yewjunction/ledger/Ledger.java
+++ b/src/main/java/yewjunction/ledger/Ledger.java
@@ -26,6 +26,7 @@
     final Course course;
     final Introductions introductions;
     final Relay relay;
+    final Membership membership;
     private Role role = Role.FOLLOWS;
     private String leaderIdentity;
     private Link leaderLink;
@@ -42,6 +43,7 @@
         log = archive.log;
         introductions = new Introductions(this);
         relay = new Relay(this);
+        membership = new Membership(this);
         leading = new Leading(this);
         following = new Following(this);
         election = new Election(this);
@@ -145,9 +147,9 @@
         return leading.electorate;
     }
 
-    /** Asks whoever leads to bring this member up to date. */
-    public void join(final String peerAddress, final boolean wantsVote) {
-        following.join(peerAddress, wantsVote);
+    /** This member's own side of its membership. */
+    public Membership membership() {
+        return membership;
     }
 
     /** Takes the group's letters from the post. */
@@ -229,6 +231,7 @@
                 leaderIdentity = newLeader;
                 course.dropProposals();
                 machine.leader(newLeader, false);
+                membership.leaderFound();
             }
         }
     }
--- /dev/null
+++ b/src/main/java/yewjunction/ledger/Membership.java
@@ -0,0 +1,71 @@
+package yewjunction.ledger;
+
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+
+import static yewjunction.base.Limits.ENROL_MS;
+
+/**
+ * A member's own side of its membership: whoever has no vote, or hears no leader, makes itself known to whoever leads, by
+ * whatever way the lead passed. A new leader knows the voters from its log, and all others only by their own word.
+ */
+public final class Membership {
+    private final Ledger ledger;
+    private Supplier<List<String>> peers = List::of;
+    private BooleanSupplier wantsVote = () -> false;
+    /** What the leader had committed when this was last looked at, and since when this member has not applied as much. */
+    private long goal;
+    private long goalMs;
+
+    Membership(final Ledger ledger) {
+        this.ledger = ledger;
+    }
+
+    /** From now on. Peers: addresses of members that may lead, or know who does; whether there is a seat is the leader's matter. */
+    public void keep(final Supplier<List<String>> chosenPeers, final BooleanSupplier chosenWantsVote) {
+        peers = chosenPeers;
+        wantsVote = chosenWantsVote;
+        ledger.pulse.every(ENROL_MS, this::seek);
+    }
+
+    /** Whether this member votes, as far as its own log says. */
+    public boolean seated() {
+        return ledger.voters().contains(ledger.identity());
+    }
+
+    private void seek() {
+        if (ledger.stopped() || ledger.identity() == null || seated() && !ledger.leaderless()) {
+            return;
+        }
+        // Whoever knows another leader passes it on; with a leader in reach nobody else is troubled.
+        final String leader = ledger.leader();
+        final List<String> asked = leader == null ? peers.get() : List.of(Ledger.address(leader));
+        asked.forEach(peer -> ledger.following.join(peer, wantsVote.getAsBoolean()));
+    }
+
+    /** An election is due and this member has no vote: it lets go of its leader, or it would go on asking a former one. */
+    void patienceEnded() {
+        ledger.follow(null);
+        seek();
+    }
+
+    /** Another leader than before was heard: it may know this member as one of its log, but not what it wants. */
+    void leaderFound() {
+        if (!seated()) {
+            seek();
+        }
+    }
+
+    void told(final long leaderCommit) {
+        if (ledger.applied() >= goal) {
+            goal = leaderCommit;
+            goalMs = ledger.pulse.nowMs();
+        }
+    }
+
+    /** ms for which this member has lacked what its leader had committed; 0 while it keeps up. */
+    public long behindMs() {
+        return ledger.leadsTerm() || ledger.applied() >= goal ? 0 : ledger.pulse.nowMs() - goalMs;
+    }
+}
--- a/src/main/java/yewjunction/node/VaultNode.java
+++ b/src/main/java/yewjunction/node/VaultNode.java
@@ -65,6 +65,7 @@
         }
         ledger.start();
         ledger.electorate().seat(new Seating(settings.votersNeeded(), () -> tenure.facts().retiringAddresses(), roster::zoneAt));
+        ledger.membership().keep(this::vaults, () -> !tenure.facts().retiringAddresses().contains(address));
         tenure.identity(ledger.identity());
         tenure.start();
         pulse.every(ENROL_MS, this::settleDuties);
@@ -79,17 +80,16 @@
         return cellar;
     }
 
-    /** Joins where a place is free, and empties what the core wants emptied. */
+    /** Until the first voters are chosen there is nothing to join. */
+    private List<String> vaults() {
+        return tenure.facts().vaults().isEmpty() ? List.of() : Node.addresses(roster, "vault");
+    }
+
+    /** Says how far it is, and empties what the core wants emptied. */
     private void settleDuties() {
         tenure.applied(ledger.applied());
         tenure.balances(cellar.balances());
         final List<String> voters = ledger.voters();
-        if (!tenure.facts().vaults().isEmpty() && (!voters.contains(ledger.identity()) || ledger.leaderless())) {
-            // Whether there is a seat is the leader's matter.
-            final boolean wanted = !tenure.facts().retiringAddresses().contains(address);
-            final List<String> asked = ledger.leader() == null ? Node.addresses(roster, "vault") : List.of(Ledger.address(ledger.leader()));
-            asked.forEach(peer -> ledger.join(peer, wanted));
-        }
         if (ledger.leads()) {
             gate.lending().look(tenure.charter());
             emptyRetiring(voters);
@@ -101,7 +101,8 @@
         final List<String> emptied = new ArrayList<>();
         for (final String one : retiring) {
             final String node = tenure.facts().retiringNode(one);
-            if (node != null && voters.stream().noneMatch(voter -> Ledger.address(voter).equals(one))) {
+            // Only once the change is committed: then a majority of those that stay holds all that was ever acknowledged.
+            if (node != null && !ledger.electorate().changing() && voters.stream().noneMatch(voter -> Ledger.address(voter).equals(one))) {
                 emptied.add(node);
             }
         }
--- a/src/test/java/yewjunction/ledger/LedgerSim.java
+++ b/src/test/java/yewjunction/ledger/LedgerSim.java
@@ -25,6 +25,8 @@
     World world;
     /** Addresses that are to hold no vote. */
     final Map<String, Boolean> leaving = new TreeMap<>();
+    /** The planted fault: addresses that nobody asks who leads, as if only a former leader were known. */
+    final Set<String> forgotten = new HashSet<>();
     private long proposed;
     private int drawn;
 
@@ -78,11 +80,8 @@
             }
         }
         ledger.start();
-        host.every(300, () -> {
-            if (!ledger.voters().contains(ledger.identity()) || ledger.leaderless()) {
-                ledgers.keySet().stream().filter(one -> !one.equals(address)).forEach(one -> ledger.join(one, true));
-            }
-        });
+        ledger.membership().keep(() -> ledgers.keySet().stream().filter(one -> !one.equals(address)
+            && !forgotten.contains(one)).toList(), () -> true);
         ledgers.put(address, ledger);
         tales.put(address, tale);
     }
--- a/src/test/java/yewjunction/ledger/SeatingSimTest.java
+++ b/src/test/java/yewjunction/ledger/SeatingSimTest.java
@@ -99,4 +99,57 @@
         assertTrue(world.runUntil(() -> voters().size() == 4, 5_000), "voters " + voters());
         assertTrue(voters().contains("d:1"));
     }
+
+    /** The one that leads stops for good while a spare that followed it is there; true once the spare sits in its seat. */
+    private boolean replacedAsPlanned(final long seed) {
+        beginWith(seed);
+        world.loss = 0.02;
+        final Ledger old = leader();
+        final String gone = Ledger.address(old.identity());
+        // The new machine first, then the old one's orderly stop.
+        boot("d:9", false);
+        world.runFor(2_000);
+        old.electorate().handOver(() -> world.host(gone).powerOff());
+        return world.runUntil(() -> voters().contains("d:9") && !voters().contains(gone) && voters().size() == 3, 4_000);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+    void aSpareThatFollowedTheOldLeaderSitsInItsSeatBeforeTheNextLoss(final long seed) {
+        assertTrue(replacedAsPlanned(seed), "voters " + voters());
+        world.runFor(500);
+        final String next = addresses.stream().filter(one -> world.host(one).up()).toList().get((int) (seed % 2));
+        world.host(next).powerOff();
+        world.host(next).wipe();
+        awaitProgress(50, 5_000);
+        assertTrue(tales.get("d:9").told.values().containsAll(java.util.Set.copyOf(acknowledged)) || leader() != null
+            && tales.get(Ledger.address(leader().identity())).told.values().containsAll(acknowledged), "an acknowledged entry is gone");
+    }
+
+    /** Planted: the spare asks only whom it knew as leader, as it did when it never let go of one. */
+    @Test
+    void aSpareThatKnowsOnlyTheFormerLeaderIsSeenToStayOutside() {
+        forgotten.addAll(addresses);
+        assertTrue(!replacedAsPlanned(1), "the planted fault does not show");
+    }
+
+    @Test
+    void aMemberThatLagsSaysForHowLong() {
+        beginWith(3, "d:1");
+        world.loss = 0;
+        world.runFor(1_000);
+        assertTrue(ledgers.get("d:1").membership().behindMs() < 100, "behind while all is well");
+        // It hears how far the others are, but not the entries.
+        world.host("d:1").tampering = letter -> {
+            if (letter instanceof Letters.Append append) {
+                append.entries.clear();
+                append.relay = null;
+            } else if (letter instanceof Letters.Fetched fetched) {
+                fetched.entries.clear();
+            }
+        };
+        assertTrue(world.runUntil(() -> ledgers.get("d:1").membership().behindMs() > 1_000, 3_000));
+        world.host("d:1").tampering = letter -> { };
+        assertTrue(world.runUntil(() -> ledgers.get("d:1").membership().behindMs() == 0, 3_000));
+    }
 }
