A seat passes to the spare before its process ends, not after its silence

Cause: a planned replacement stops the old machine while its successor stands by; the seat passed only once the old one had been silent for 1.5 s and the spare had found the next leader. Change: a voter that stops says so to its leader every 20 ms; the newcomer is added, then the one that goes is removed, as with a store that is emptied; a leader hands over in between. The process ends once that is committed, after 1 s at most, at once where nobody is known who could take the seat. Retirements use the same path in Electorate.

--- a/src/main/java/yewjunction/base/ControlLimits.java
+++ b/src/main/java/yewjunction/base/ControlLimits.java
@@ -4,6 +4,13 @@
 public final class ControlLimits {
     private ControlLimits() {
     }
+    // --- membership ---
+    /** ms; a process that ends waits at most so long for its seat to pass: a change of voters takes a tenth, the grace is 6 s. */
+    public static final long LEAVE_MS = 1_000;
+    /** ms; pace of looking whether it has passed, and of saying that the process ends. */
+    public static final long LEAVE_LOOK_MS = 20;
+    /** ms; how long that word counts at the leader: it is said again all the time, and a process may have come back since. */
+    public static final long LEAVE_SAID_MS = 300;
     // --- homes ---
     /** ms; a home that has lacked for so long what its leader had committed serves no more edges: about five times an aim. */
     public static final long HOME_BEHIND_MS = 500;
--- a/src/main/java/yewjunction/ledger/Electorate.java
+++ b/src/main/java/yewjunction/ledger/Electorate.java
@@ -4,10 +4,10 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import yewjunction.base.Event;
 import yewjunction.ledger.Letters.HandOver;
 
+import static yewjunction.base.ControlLimits.LEAVE_SAID_MS;
 import static yewjunction.base.Limits.APPEND_AGAIN_MS;
 import static yewjunction.base.Limits.BEAT_MS;
 import static yewjunction.base.Limits.CAUGHT_UP_ENTRIES;
@@ -67,7 +67,7 @@
      * goes, then the new comes: two changes of one voter each.
      */
     void settle() {
-        if (!ledger.leads() || changing()) {
+        if (!ledger.leads() || handing || changing()) {
             return;
         }
         final List<String> voters = ledger.voters();
@@ -76,6 +76,17 @@
             && nowMs - one.getValue().heardMs > 20 * ELECT_MOST_MS);
         leading.standings.forEach((identity, standing) -> standing.keepUp(ledger.commit(), nowMs));
         final String newcomer = newcomer(voters, nowMs);
+        final List<String> staying = voters.stream().filter(voter -> !leaves(voter)).toList();
+        if (staying.size() < voters.size() && staying.size() >= seating.seats()
+            && staying.stream().allMatch(voter -> voter.equals(ledger.identity()) || nearEnd(voter))) {
+            // The newcomer came first, then the old one goes; a leader that is to go hands over before.
+            if (leaves(ledger.identity())) {
+                handOver(() -> { });
+            } else {
+                change(staying);
+            }
+            return;
+        }
         if (newcomer == null) {
             return;
         }
@@ -83,25 +94,31 @@
         final List<String> newVoters = new ArrayList<>(voters);
         if (lost != null) {
             newVoters.remove(lost);
-        } else if (staying(voters) < seating.seats()) {
+        } else if (staying.size() < seating.seats()) {
             newVoters.add(newcomer);
         }
         change(newVoters);
     }
 
-    private long staying(final List<String> voters) {
-        final Set<String> leaving = seating.leaving().get();
-        return voters.stream().filter(voter -> !leaving.contains(Ledger.address(voter))).count();
+    /** Its machine is to be emptied, or its process said a moment ago that it ends. */
+    private boolean leaves(final String identity) {
+        final Standing standing = leading.standings.get(identity);
+        return seating.leaving().get().contains(Ledger.address(identity))
+            || identity.equals(ledger.identity()) && ledger.membership.leaving()
+            || standing != null && standing.leavesMs > 0 && ledger.pulse.nowMs() - standing.leavesMs < LEAVE_SAID_MS;
+    }
+
+    int seats() {
+        return seating.seats();
     }
 
     /** Of those that want a vote, the one whose machine voted before, else one in the zone with the fewest voters. */
     private String newcomer(final List<String> voters, final long nowMs) {
-        final Set<String> leaving = seating.leaving().get();
         return leading.standings.entrySet().stream()
             // Only one that answers right now: an identity whose disk is gone again stays out.
             .filter(one -> one.getValue().wantsVote && !voters.contains(one.getKey()) && nearEnd(one.getKey())
                 && !one.getValue().lags(nowMs) && nowMs - one.getValue().heardMs <= APPEND_AGAIN_MS
-                && !leaving.contains(Ledger.address(one.getKey())))
+                && !leaves(one.getKey()))
             .map(Map.Entry::getKey)
             .min(Comparator.comparingLong((String identity) -> votersLike(voters, identity)).thenComparing(identity -> identity))
             .orElse(null);
@@ -111,7 +128,7 @@
     void relays(final long nowMs) {
         final List<String> voters = ledger.voters();
         // While a seat is to be filled, candidates are brought to the very end.
-        final boolean seated = staying(voters) >= seating.seats() && voters.stream().allMatch(voter -> voter.equals(ledger.identity())
+        final boolean seated = voters.stream().filter(voter -> !leaves(voter)).count() >= seating.seats() && voters.stream().allMatch(voter -> voter.equals(ledger.identity())
             || nowMs - leading.standing(voter).heardMs < APPEND_AGAIN_MS && !leading.standing(voter).lags(nowMs));
         leading.standings.forEach((identity, standing) -> standing.relay = seated && !voters.contains(identity)
             && standing.match + RELAY_ENTRIES >= ledger.commit() && ledger.log.termAt(standing.match) >= 0 && !standing.lags(nowMs)
--- a/src/main/java/yewjunction/ledger/Following.java
+++ b/src/main/java/yewjunction/ledger/Following.java
@@ -23,9 +23,10 @@
         this.ledger = ledger;
     }
 
-    void join(final String peerAddress, final boolean wantsVote) {
+    void join(final String peerAddress, final boolean wantsVote, final boolean leaves) {
         final Join join = ledger.addressed(new Join(), null);
         join.wantsVote = wantsVote;
+        join.leaves = leaves ? true : null;
         ledger.introductions.send(ledger.post.dial(peerAddress), join);
     }
 
--- a/src/main/java/yewjunction/ledger/Leading.java
+++ b/src/main/java/yewjunction/ledger/Leading.java
@@ -241,9 +241,9 @@
         }
     }
 
-    void learn(final String identity, final boolean wantsVote) {
+    void learn(final Letters.Join join) {
         if (ledger.leadsTerm()) {
-            standing(identity).wantsVote = wantsVote;
+            standing(join.from).said(join, ledger.pulse.nowMs());
         }
     }
 }
--- a/src/main/java/yewjunction/ledger/Letters.java
+++ b/src/main/java/yewjunction/ledger/Letters.java
@@ -108,5 +108,7 @@
         boolean wantsVote;
         /** By a member that does not lead itself. */
         Boolean passedOn;
+        /** Its process ends: a voter's seat is for somebody else. */
+        Boolean leaves;
     }
 }
--- a/src/main/java/yewjunction/ledger/Mail.java
+++ b/src/main/java/yewjunction/ledger/Mail.java
@@ -39,7 +39,7 @@
         on(ImageAnswer.class, (link, answer) -> leading.images.answered(answer));
         on(Join.class, (link, join) -> {
             if (ledger.leadsTerm()) {
-                leading.learn(join.from, join.wantsVote);
+                leading.learn(join);
             } else if (join.passedOn == null && ledger.leader() != null) {
                 // The newcomer may not know the leader's machine yet; passed on once, so that it never runs in circles.
                 join.passedOn = true;
--- a/src/main/java/yewjunction/ledger/Membership.java
+++ b/src/main/java/yewjunction/ledger/Membership.java
@@ -4,6 +4,8 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
+import static yewjunction.base.ControlLimits.LEAVE_LOOK_MS;
+import static yewjunction.base.ControlLimits.LEAVE_MS;
 import static yewjunction.base.Limits.ENROL_MS;
 
 /**
@@ -14,6 +16,7 @@
     private final Ledger ledger;
     private Supplier<List<String>> peers = List::of;
     private BooleanSupplier wantsVote = () -> false;
+    private boolean leaving;
     /** What the leader had committed when this was last looked at, and since when this member has not applied as much. */
     private long goal;
     private long goalMs;
@@ -35,13 +38,41 @@
     }
 
     private void seek() {
-        if (ledger.stopped() || ledger.identity() == null || seated() && !ledger.leaderless()) {
+        if (ledger.stopped() || ledger.identity() == null || seated() && !leaving && !ledger.leaderless()) {
             return;
         }
         // Whoever knows another leader passes it on; with a leader in reach nobody else is troubled.
         final String leader = ledger.leader();
         final List<String> asked = leader == null ? peers.get() : List.of(Ledger.address(leader));
-        asked.forEach(peer -> ledger.following.join(peer, wantsVote.getAsBoolean()));
+        asked.forEach(peer -> ledger.following.join(peer, !leaving && wantsVote.getAsBoolean(), leaving));
+    }
+
+    /** This member's process ends soon. */
+    boolean leaving() {
+        return leaving;
+    }
+
+    /**
+     * Gives its seat to whoever is there for it, then its lead. A machine that is replaced for good stops like one that is
+     * started again: the seat passes before it ends, since the next loss may come before its silence would tell.
+     */
+    public void leave(final Runnable ended) {
+        leaving = true;
+        waitLeft(ledger.pulse.nowMs(), ended);
+    }
+
+    private void waitLeft(final long startMs, final Runnable ended) {
+        final boolean owed = seated() || ledger.electorate().changing();
+        // Nobody without a seat is known: what remains to be handed on is the lead.
+        final boolean taker = peers.get().size() >= ledger.electorate().seats();
+        if (!owed || !taker || ledger.pulse.nowMs() - startMs > LEAVE_MS) {
+            ledger.electorate().handOver(ended);
+            return;
+        }
+        if (!ledger.leadsTerm()) {
+            seek();
+        }
+        ledger.pulse.after(LEAVE_LOOK_MS, () -> waitLeft(startMs, ended));
     }
 
     /** An election is due and this member has no vote: it lets go of its leader, or it would go on asking a former one. */
--- a/src/main/java/yewjunction/ledger/Standing.java
+++ b/src/main/java/yewjunction/ledger/Standing.java
@@ -11,6 +11,8 @@
     long sentMs;
     double late;
     boolean wantsVote;
+    /** When it last said that its process ends, 0 when it did not. */
+    long leavesMs;
     /** Who hands entries on to it inside its zone, null while the leader does; and when it was told so last. */
     String relay;
     long relayToldMs;
@@ -18,6 +20,11 @@
     private long goal;
     private long goalMs;
 
+    void said(final Letters.Join join, final long nowMs) {
+        wantsVote = join.wantsVote;
+        leavesMs = join.leaves == null ? 0 : nowMs;
+    }
+
     void keepUp(final long commit, final long nowMs) {
         if (match >= goal || goalMs == 0) {
             goal = commit;
--- a/src/main/java/yewjunction/node/CruxNode.java
+++ b/src/main/java/yewjunction/node/CruxNode.java
@@ -38,7 +38,7 @@
 
     @Override
     public void stop(final Runnable ended) {
-        crux.ledger().electorate().handOver(() -> {
+        crux.ledger().membership().leave(() -> {
             crux.ledger().stop();
             ended.run();
         });
--- a/src/main/java/yewjunction/node/VaultNode.java
+++ b/src/main/java/yewjunction/node/VaultNode.java
@@ -107,23 +107,13 @@
             }
         }
         tenure.emptied(emptied);
-        final List<String> staying = voters.stream().filter(voter -> !retiring.contains(Ledger.address(voter))).toList();
-        // The newcomer first, then the old one goes; a leader that is to go hands over before.
-        if (staying.size() < voters.size() && staying.size() >= settings.votersNeeded() && staying.stream().allMatch(voter ->
-            voter.equals(ledger.identity()) || ledger.electorate().nearEnd(voter))) {
-            if (retiring.contains(address)) {
-                ledger.electorate().handOver(() -> { });
-            } else {
-                ledger.electorate().change(staying);
-            }
-        }
     }
 
     @Override
     public void stop(final Runnable ended) {
-        // Edges leave first; the lead goes to a peer that holds everything.
+        // Edges leave first; the seat goes to a spare, and the lead to a peer that holds everything.
         home.close();
-        ledger.electorate().handOver(() -> {
+        ledger.membership().leave(() -> {
             ledger.stop();
             ended.run();
         });
--- a/src/test/java/yewjunction/ledger/LedgerSim.java
+++ b/src/test/java/yewjunction/ledger/LedgerSim.java
@@ -27,6 +27,8 @@
     final Map<String, Boolean> leaving = new TreeMap<>();
     /** The planted fault: addresses that nobody asks who leads, as if only a former leader were known. */
     final Set<String> forgotten = new HashSet<>();
+    /** The planted fault: nobody hears that a member ends. */
+    boolean deaf;
     private long proposed;
     private int drawn;
 
@@ -69,6 +71,13 @@
     void boot(final String address, final boolean founder) {
         final Host host = world.host(address);
         final SimPost post = host.boot();
+        if (deaf) {
+            host.tampering = letter -> {
+                if (letter instanceof Letters.Join join) {
+                    join.leaves = null;
+                }
+            };
+        }
         final Tale tale = new Tale();
         final Ledger ledger = new Ledger(7, host, post, host.disk, host.clerk(), "ledger", tale);
         ledger.listen();
--- a/src/test/java/yewjunction/ledger/SeatingSimTest.java
+++ b/src/test/java/yewjunction/ledger/SeatingSimTest.java
@@ -100,37 +100,73 @@
         assertTrue(voters().contains("d:1"));
     }
 
-    /** The one that leads stops for good while a spare that followed it is there; true once the spare sits in its seat. */
-    private boolean replacedAsPlanned(final long seed) {
+    /** The one that leads, or another voter, stops for good while a spare that followed it is there. */
+    private boolean replacedAsPlanned(final long seed, final boolean leads) {
         beginWith(seed);
         world.loss = 0.02;
-        final Ledger old = leader();
-        final String gone = Ledger.address(old.identity());
         // The new machine first, then the old one's orderly stop.
         boot("d:9", false);
         world.runFor(2_000);
-        old.electorate().handOver(() -> world.host(gone).powerOff());
-        return world.runUntil(() -> voters().contains("d:9") && !voters().contains(gone) && voters().size() == 3, 4_000);
+        final String gone = leads ? Ledger.address(leader().identity()) : addresses.stream()
+            .filter(one -> !one.equals(Ledger.address(leader().identity()))).findFirst().orElseThrow();
+        final boolean[] ended = new boolean[1];
+        ledgers.get(gone).membership().leave(() -> {
+            ended[0] = true;
+            world.host(gone).powerOff();
+        });
+        world.runUntil(() -> ended[0], 3_000);
+        world.host(gone).wipe();
+        return leader() != null && voters().equals(java.util.stream.Stream.concat(addresses.stream(), java.util.stream.Stream.of("d:9"))
+            .filter(one -> !one.equals(gone)).toList());
     }
 
     @ParameterizedTest
-    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
-    void aSpareThatFollowedTheOldLeaderSitsInItsSeatBeforeTheNextLoss(final long seed) {
-        assertTrue(replacedAsPlanned(seed), "voters " + voters());
-        world.runFor(500);
-        final String next = addresses.stream().filter(one -> world.host(one).up()).toList().get((int) (seed % 2));
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
+    void aSpareSitsInTheSeatBeforeWhoeverStopsForGoodHasEnded(final long seed) {
+        assertTrue(replacedAsPlanned(seed, seed % 2 == 0), "voters " + voters());
+        // At once: its successor may have been there for long, so the next loss may come now, with its disk.
+        final String next = voters().get((int) (seed % 3));
         world.host(next).powerOff();
         world.host(next).wipe();
         awaitProgress(50, 5_000);
-        assertTrue(tales.get("d:9").told.values().containsAll(java.util.Set.copyOf(acknowledged)) || leader() != null
-            && tales.get(Ledger.address(leader().identity())).told.values().containsAll(acknowledged), "an acknowledged entry is gone");
+        final java.util.Set<Long> owed = java.util.Set.copyOf(acknowledged);
+        world.runFor(100);
+        assertTrue(tales.get(Ledger.address(leader().identity())).told.values().containsAll(owed), "an acknowledged entry is gone");
+    }
+
+    /** Planted: what a member says of its end is not heard, so its seat passes only once it has been silent. */
+    @Test
+    void aSeatThatPassesOnlyAfterSilenceIsSeen() {
+        int late = 0;
+        for (long seed = 1; seed <= 4; seed++) {
+            final SeatingSimTest one = new SeatingSimTest();
+            one.deaf = true;
+            late += one.replacedAsPlanned(seed, true) ? 0 : 1;
+        }
+        assertEquals(4, late);
+    }
+
+    @Test
+    void aMemberThatStopsWithNobodyToTakeItsSeatEndsAtOnce() {
+        beginWith(2);
+        final String gone = addresses.stream().filter(one -> !one.equals(Ledger.address(leader().identity()))).findFirst().orElseThrow();
+        final boolean[] ended = new boolean[1];
+        ledgers.get(gone).membership().leave(() -> ended[0] = true);
+        world.runFor(1);
+        assertTrue(ended[0], "it waits for nothing");
+        assertEquals(addresses, voters());
     }
 
-    /** Planted: the spare asks only whom it knew as leader, as it did when it never let go of one. */
+    /** Planted: nobody but the former leader is asked, as when a spare never let go of one. */
     @Test
     void aSpareThatKnowsOnlyTheFormerLeaderIsSeenToStayOutside() {
         forgotten.addAll(addresses);
-        assertTrue(!replacedAsPlanned(1), "the planted fault does not show");
+        beginWith(1, "d:9");
+        final String gone = Ledger.address(leader().identity());
+        world.host(gone).powerOff();
+        assertTrue(!world.runUntil(() -> voters().contains("d:9"), 6_000), "the planted fault does not show");
+        forgotten.clear();
+        assertTrue(world.runUntil(() -> voters().contains("d:9") && !voters().contains(gone), 4_000), "voters " + voters());
     }
 
     @Test
