Desk: facts are told only after a majority confirmed; calls wait without threads

412, 404 and 409 of retire and the quota page came from the leader's own state: one that is cut off or deposed refused valid orders. They are now looked at again after a majority has confirmed the lead. What depends on the request alone (400, 405, 413, also Ver not above its own base and an update on 0) needs nobody; what was taken stays taken and needs nobody either. A change too old to be remembered is unclear, not refused. A new leader that the store machines have not called yet answers 503 in the place of 404 and 409. retire begin goes in turn with the changes: two at once counted on the same spare. A doubled Base-Version is 400, on every member. An answer that is awaited holds no call thread, and a caller that is cut off half way loses its thread after 15 s. An exception in the desk no longer blocks it for good; deep nesting is 400.

--- a/src/main/java/yewjunction/app/Process.java
+++ b/src/main/java/yewjunction/app/Process.java
@@ -101,7 +101,7 @@
     /** Opens the doors to the outside that this duty has. */
     private void listen() {
         if (node instanceof CruxNode crux) {
-            Web.operator(settings.control(), loom, crux.desk());
+            Web.operator(settings.control(), loom, crux.desk()::take);
         } else if (node instanceof EdgeNode edge) {
             SocketLine.listen(loom, Addresses.parse(settings.front()), edge::greet);
             Web.readiness(settings.ready(), edge::ready);
--- a/src/main/java/yewjunction/app/Web.java
+++ b/src/main/java/yewjunction/app/Web.java
@@ -4,39 +4,42 @@
 import com.sun.net.httpserver.HttpHandler;
 import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
+import java.io.InputStream;
 import java.io.OutputStream;
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ExecutionException;
-import java.util.concurrent.Executors;
+import java.util.concurrent.Executor;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import yewjunction.base.Event;
 import yewjunction.base.Pulse;
 import yewjunction.charter.Desk;
 import yewjunction.loom.Addresses;
 
+import static yewjunction.base.ControlLimits.CALL_READ_MOST;
+import static yewjunction.base.ControlLimits.CALL_THREAD_IDLE_MS;
+import static yewjunction.base.ControlLimits.CALL_TRANSFER_S;
 import static yewjunction.base.Limits.CALL_MS;
 import static yewjunction.base.Limits.CALL_THREADS;
 import static yewjunction.base.Limits.CONFIG_BYTES;
 
 /** The HTTP side of a process, on the JDK's own small server. */
 final class Web {
+    private static final Desk.Answer NO_ANSWER = new Desk.Answer(503, "{\"Err\":\"NO_ANSWER\"}", null);
+
     private Web() {
     }
 
-    private static HttpServer server(final String address, final HttpHandler handler, final int threads) {
+    private static HttpServer server(final String address, final HttpHandler handler, final Executor pool) {
         try {
             final HttpServer server = HttpServer.create(Addresses.parse(address), 64);
             server.createContext("/", handler);
-            if (threads > 0) {
-                server.setExecutor(Executors.newFixedThreadPool(threads, task -> {
-                    final Thread thread = new Thread(null, task, "call", 128 << 10);
-                    thread.setDaemon(true);
-                    return thread;
-                }));
-            }
+            server.setExecutor(pool);
             server.start();
             return server;
         } catch (final IOException defect) {
@@ -49,39 +52,72 @@
         server(address, exchange -> {
             final boolean known = exchange.getRequestURI().getPath().equals("/-/readyz");
             answer(exchange, !known ? 404 : ready.getAsBoolean() ? 200 : 503, "");
-        }, 0);
+        }, null);
     }
 
-    /** The operator's calls, each handed to the owner of the tables. */
-    static void operator(final String address, final Pulse pulse, final Desk desk) {
-        final int port = Addresses.parse(address).getPort();
-        server(address, exchange -> {
-            final byte[] body = exchange.getRequestBody().readNBytes(CONFIG_BYTES + 1);
-            final Desk.Request request = new Desk.Request(exchange.getRequestMethod(), exchange.getRequestURI().getPath(),
-                exchange.getRequestHeaders().getFirst("Base-Version"), body);
+    /** What the owner of the tables does with a call; it answers once, maybe later. */
+    interface Owner {
+        void take(Desk.Request request, Consumer<Desk.Answer> answer);
+    }
+
+    /** The operator's calls, each handed to the owner of the tables; a thread is held only while bytes travel. */
+    static HttpServer operator(final String address, final Pulse pulse, final Owner owner) {
+        // Read by the server when it is made: else a caller that was cut off half way would keep its thread.
+        System.setProperty("sun.net.httpserver.maxReqTime", String.valueOf(CALL_TRANSFER_S));
+        System.setProperty("sun.net.httpserver.maxRspTime", String.valueOf(CALL_TRANSFER_S));
+        final Executor pool = pool();
+        return server(address, exchange -> {
+            final Desk.Request request = read(exchange);
             final CompletableFuture<Desk.Answer> promise = new CompletableFuture<>();
+            promise.thenAcceptAsync(answer -> reply(exchange, answer), pool);
             pulse.post(() -> {
+                pulse.after(CALL_MS, () -> promise.complete(NO_ANSWER));
                 try {
-                    desk.take(request, promise::complete);
+                    owner.take(request, promise::complete);
                 } catch (final RuntimeException defect) {
-                    promise.completeExceptionally(defect);
+                    Event.TURN_DEFECT.warn("an operator's call", defect);
+                    promise.complete(NO_ANSWER);
                 }
             });
-            Desk.Answer answer;
-            try {
-                answer = promise.get(CALL_MS, TimeUnit.MILLISECONDS);
-            } catch (final TimeoutException | ExecutionException defect) {
-                answer = new Desk.Answer(503, "{\"Err\":\"NO_ANSWER\"}", null);
-            } catch (final InterruptedException defect) {
-                Thread.currentThread().interrupt();
-                return;
-            }
+        }, pool);
+    }
+
+    private static Executor pool() {
+        final ThreadPoolExecutor pool = new ThreadPoolExecutor(CALL_THREADS, CALL_THREADS, CALL_THREAD_IDLE_MS,
+            TimeUnit.MILLISECONDS, new LinkedBlockingQueue<>(), task -> {
+                final Thread thread = new Thread(null, task, "call", 128 << 10);
+                thread.setDaemon(true);
+                return thread;
+            });
+        pool.allowCoreThreadTimeOut(true);
+        return pool;
+    }
+
+    private static Desk.Request read(final HttpExchange exchange) throws IOException {
+        final InputStream in = exchange.getRequestBody();
+        final byte[] body = in.readNBytes(CONFIG_BYTES + 1);
+        final byte[] rest = new byte[16 << 10];
+        for (int more = body.length; more > CONFIG_BYTES && more < CALL_READ_MOST;) {
+            final int count = in.read(rest);
+            more = count < 0 ? CALL_READ_MOST : more + count;
+        }
+        // As HTTP joins a header that was sent more than once: whoever reads it sees that.
+        final List<String> bases = exchange.getRequestHeaders().get("Base-Version");
+        return new Desk.Request(exchange.getRequestMethod(), exchange.getRequestURI().getPath(),
+            bases == null ? null : String.join(", ", bases), body);
+    }
+
+    private static void reply(final HttpExchange exchange, final Desk.Answer answer) {
+        try {
             if (answer.status() == 307) {
-                exchange.getResponseHeaders().set("Location",
-                    "http://" + Addresses.ip(answer.leaderAddress()) + ":" + port + exchange.getRequestURI());
+                exchange.getResponseHeaders().set("Location", "http://" + Addresses.ip(answer.leaderAddress()) + ":"
+                    + exchange.getLocalAddress().getPort() + exchange.getRequestURI());
             }
             answer(exchange, answer.status(), answer.json());
-        }, CALL_THREADS);
+        } catch (final IOException defect) {
+            // Its caller has gone, and asks again where it wants to know.
+            exchange.close();
+        }
     }
 
     private static void answer(final HttpExchange exchange, final int status, final String json) throws IOException {
--- a/src/main/java/yewjunction/base/ControlLimits.java
+++ b/src/main/java/yewjunction/base/ControlLimits.java
@@ -14,4 +14,13 @@
     // --- homes ---
     /** ms; a home that has lacked for so long what its leader had committed serves no more edges: about five times an aim. */
     public static final long HOME_BEHIND_MS = 500;
+    // --- desk ---
+    /** ms; a vault in touch has called a new leader by then: four of its paces (LEASE_PACE_MS), as long as a lease lasts. */
+    public static final long VAULTS_HEARD_MS = 2_500;
+    /** s; a caller that sends or reads for longer has gone: the largest body over 0.6 Mbit/s takes less. */
+    public static final int CALL_TRANSFER_S = 15;
+    /** ms; an idle call thread goes after that. */
+    public static final long CALL_THREAD_IDLE_MS = 2_000;
+    /** bytes; a body that is too big is read so far before it is denied: closed on, its sender might not read the answer. */
+    public static final int CALL_READ_MOST = 16 << 20;
 }
--- a/src/main/java/yewjunction/base/Limits.java
+++ b/src/main/java/yewjunction/base/Limits.java
@@ -185,8 +185,8 @@
     public static final int CONFIG_BYTES = 1 << 20, TAKEN_VERSIONS = 512;
     /** ms; a replica gone from the roster for this long is retired. */
     public static final long REPLICA_GONE_MS = 60_000;
-    /** threads for operator calls, which wait for a majority. */
-    public static final int CALL_THREADS = 4;
+    /** threads for operator calls, each held while bytes are read or written: eight orders, and as many looks. */
+    public static final int CALL_THREADS = 16;
     // --- weave ---
     /** ms; pace of exchange between an edge and its home, and inside a zone. */
     public static final long GOSSIP_MS = 1_000;
--- a/src/main/java/yewjunction/charter/Core.java
+++ b/src/main/java/yewjunction/charter/Core.java
@@ -28,7 +28,7 @@
         Facts facts = new Facts();
     }
 
-    /** An request that was taken, so that its exact repeat is known. */
+    /** A request that was taken, so that its exact repeat is known. */
     static final class Taken {
         long version;
         String digest = "";
@@ -83,6 +83,11 @@
         return image.taken.stream().anyMatch(one -> one.version == version && one.digest.equals(digest));
     }
 
+    /** So many versions ago that a change with this number may have been taken and is no longer remembered. */
+    boolean forgot(final long version) {
+        return image.taken.size() >= TAKEN_VERSIONS && version < image.taken.get(0).version;
+    }
+
     @Override
     public void apply(final long index, final byte[] data) {
         final Deed deed = DEEDS.newMessage();
--- a/src/main/java/yewjunction/charter/Crux.java
+++ b/src/main/java/yewjunction/charter/Crux.java
@@ -38,7 +38,7 @@
         final Registrar registrar = new Registrar(pulse, post, core, ledger, roster, settings.votersNeeded());
         final Wards wards = new Wards(pulse);
         lessor = new Lessor(pulse, post, core, ledger, registrar, wards);
-        desk = new Desk(core, ledger, registrar, new Outlook(core, ledger, roster, registrar, wards));
+        desk = new Desk(pulse, core, ledger, registrar, new Outlook(core, ledger, roster, registrar, wards));
     }
 
     /** With an empty disk: a founder takes its place among the seeds, any other joins under a new name. */
--- a/src/main/java/yewjunction/charter/Desk.java
+++ b/src/main/java/yewjunction/charter/Desk.java
@@ -1,19 +1,16 @@
 package yewjunction.charter;
 
-import com.typesafe.config.Config;
+import com.typesafe.config.ConfigException;
 import com.typesafe.config.ConfigRenderOptions;
 import com.typesafe.config.ConfigValueFactory;
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
-import java.util.ArrayDeque;
-import java.util.HexFormat;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import yewjunction.base.Defect;
 import yewjunction.base.Event;
+import yewjunction.base.Pulse;
 import yewjunction.ledger.Ledger;
 
 import static yewjunction.base.Defect.Code.CONFIG_FIELD;
@@ -26,8 +23,7 @@
     private final Ledger ledger;
     private final Registrar registrar;
     private final Outlook outlook;
-    private final ArrayDeque<Runnable> queue = new ArrayDeque<>();
-    private boolean busy;
+    private final Turns turns;
 
     /** What goes back: a status, a JSON body, and the address of the leader when the call belongs there. */
     public record Answer(int status, String json, String leaderAddress) {
@@ -38,12 +34,19 @@
         static Answer deny(final int status, final String code, final String text) {
             return of(status, "{\"Err\":" + quoted(code) + ",\"Text\":" + quoted(text) + "}");
         }
+
+        /** Neither taken nor refused as far as is known here: the caller asks again, here or elsewhere. */
+        static Answer unclear(final String text) {
+            return deny(503, "UNCLEAR", text);
+        }
     }
 
+    /** Base: the header as HTTP joins it, "5, 5" when it came twice, null when it did not come. */
     public record Request(String method, String path, String base, byte[] body) {
     }
 
-    Desk(final Core core, final Ledger ledger, final Registrar registrar, final Outlook outlook) {
+    Desk(final Pulse pulse, final Core core, final Ledger ledger, final Registrar registrar, final Outlook outlook) {
+        turns = new Turns(pulse, ledger, this::elsewhere);
         this.outlook = outlook;
         this.core = core;
         this.ledger = ledger;
@@ -69,15 +72,18 @@
             answer.accept(Answer.of(200, outlook.json()));
         } else if (shape.equals("order show")) {
             answer.accept(Answer.of(200, outlook.order()));
+        } else if (shape.startsWith("config") && !wanted.equals("GET") && !Order.basedOnOne(request.base)) {
+            answer.accept(Answer.deny(400, CONFIG_FIELD.name(), "Base-Version: must be one whole number"));
         } else if (!ledger.leads()) {
             answer.accept(elsewhere());
         } else {
             switch (shape) {
-                case "config show" -> show(answer);
-                case "config replace", "config update" -> inTurn(() -> change(request, shape, answer));
-                case "quota show" -> quotaShow(segments[3], answer);
-                case "retire begin" -> retire(segments[3], answer);
-                default -> retireShow(segments[3], answer);
+                case "config show" -> tellConfirmed(this::show, answer);
+                case "config replace", "config update" -> change(request, shape, answer);
+                case "quota show" -> tellConfirmed(() -> quotaShow(segments[3]), answer);
+                // In turn with all changes: two that begin at once must not both count on the same spare.
+                case "retire begin" -> turns.take(() -> retire(segments[3]), answer);
+                default -> tellConfirmed(() -> retireShow(segments[3]), answer);
             }
         }
     }
@@ -113,118 +119,95 @@
         return new Answer(307, "{}", Ledger.address(leader));
     }
 
-    private void show(final Consumer<Answer> answer) {
-        // Only a leader that a majority confirms knows the newest version.
-        ledger.confirm(held -> answer.accept(!held ? elsewhere()
-            : core.json() == null ? Answer.deny(404, "NO_CONFIG", "no configuration has been taken")
-            : Answer.of(200, core.json())));
-    }
-
-    /** One change at a time, so that each is checked against the one before. */
-    private void inTurn(final Runnable work) {
-        queue.add(work);
-        if (!busy) {
-            nextInTurn();
-        }
+    /** Told once a majority has confirmed, after the call came, that this member leads: by what its state is then. */
+    private void tellConfirmed(final Supplier<Answer> look, final Consumer<Answer> answer) {
+        ledger.confirm(held -> answer.accept(held ? look.get() : elsewhere()));
     }
 
-    private void nextInTurn() {
-        final Runnable work = queue.poll();
-        busy = work != null;
-        if (busy) {
-            work.run();
-        }
+    private Answer show() {
+        return core.json() == null ? Answer.deny(404, "NO_CONFIG", "no configuration has been taken") : Answer.of(200, core.json());
     }
 
     private void change(final Request request, final String shape, final Consumer<Answer> answer) {
-        final Answer refusal = tryChange(request, shape, answer);
-        if (refusal != null) {
-            if (refusal.status != 200 && refusal.status != 307) {
-                Event.CONFIG_DENIED.info(refusal.status + " " + refusal.json);
+        final Consumer<Answer> noting = one -> {
+            if (one.status >= 400 && one.status < 500) {
+                Event.CONFIG_DENIED.info(one.status + " " + one.json);
             }
-            answer.accept(refusal);
-            nextInTurn();
+            answer.accept(one);
+        };
+        try {
+            final Order order = Order.read(shape, request.base, request.body);
+            turns.take(() -> look(order), noting);
+        } catch (final Defect defect) {
+            noting.accept(invalid(defect));
         }
     }
 
-    /** The answer when it is known at once, or null when the change has gone to the ledger. */
-    private Answer tryChange(final Request request, final String shape, final Consumer<Answer> answer) {
-        if (!ledger.leads()) {
-            return elsewhere();
+    private static Answer invalid(final Defect defect) {
+        return Answer.deny(400, defect.code().name(), defect.getMessage());
+    }
+
+    private Verdict look(final Order order) {
+        final Answer taken = Answer.of(200, "{\"Ver\":" + order.version + "}");
+        // First of all: what was taken is never refused, for whatever reason.
+        if (core.taken(order.version, order.digest)) {
+            return Verdict.lasting(taken);
         }
-        final Deed deed = new Deed(Deed.CONFIG);
-        try {
-            deed.base = Long.parseLong(String.valueOf(request.base).trim());
-        } catch (final NumberFormatException defect) {
-            return Answer.deny(400, CONFIG_FIELD.name(), "Base-Version: must be a whole number");
+        if (order.defect() != null) {
+            return Verdict.lasting(invalid(order.defect()));
+        }
+        if (core.forgot(order.version)) {
+            return Verdict.lasting(Answer.unclear("too long ago to know whether it was taken"));
+        }
+        if (order.base != core.version()) {
+            return Verdict.fact(Answer.deny(412, CONFIG_VERSION.name(), "version " + core.version() + " is current"));
         }
         try {
-            final Config sent = Charter.parse(new String(request.body, StandardCharsets.UTF_8));
-            deed.digest = digest(shape + " " + deed.base + " " + Charter.render(sent));
-            if (sent.hasPath("Ver") && core.taken(sent.getLong("Ver"), deed.digest)) {
-                return Answer.of(200, "{\"Ver\":" + sent.getLong("Ver") + "}");
-            }
-            if (deed.base != core.version()) {
-                return Answer.deny(412, CONFIG_VERSION.name(), "version " + core.version() + " is current");
-            }
-            final Charter next = shape.equals("config replace") ? Charter.of(sent) : updated(sent);
-            if (next.version() <= core.version()) {
-                return Answer.deny(400, CONFIG_VERSION.name(), "Ver: must be above " + core.version());
-            }
+            final Charter next = order.on(core.current());
+            final Deed deed = new Deed(Deed.CONFIG);
+            deed.base = order.base;
+            deed.digest = order.digest;
             deed.json = next.json();
             deed.version = next.version();
             Patches.add(deed, core.current(), next);
-            final boolean taken = ledger.propose(Core.bytes(deed), done -> {
-                answer.accept(done ? Answer.of(200, "{\"Ver\":" + next.version() + "}")
-                    : Answer.deny(503, "NO_LEADER", "the leader changed, ask again"));
-                nextInTurn();
-            });
-            return taken ? null : elsewhere();
+            return Verdict.agree(deed, taken);
         } catch (final Defect defect) {
-            return Answer.deny(400, defect.code().name(), defect.getMessage());
-        } catch (final com.typesafe.config.ConfigException defect) {
-            return Answer.deny(400, CONFIG_FIELD.name(), defect.getMessage());
+            return Verdict.lasting(invalid(defect));
+        } catch (final ConfigException defect) {
+            return Verdict.lasting(Answer.deny(400, CONFIG_FIELD.name(), defect.getMessage()));
         }
     }
 
-    private Charter updated(final Config update) {
-        if (core.json() == null) {
-            throw new Defect(CONFIG_VERSION, "there is no configuration to update");
+    private Verdict retire(final String node) {
+        // Kept for good, so its repeat is known also when the machine is long gone.
+        if (core.facts().retiring(node) != null) {
+            return Verdict.lasting(Answer.of(200, "{}"));
+        }
+        if (!registrar.knows(node)) {
+            return registrar.unknown(node) ? Verdict.fact(nodeUnknown(node)) : Verdict.lasting(unheard());
         }
-        if (!update.hasPath("Ver")) {
-            throw new Defect(CONFIG_FIELD, "Ver: is missing");
+        if (!registrar.spares(node)) {
+            return registrar.settled() ? Verdict.fact(Answer.deny(409, "TOO_FEW", "too few store machines would be left"))
+                : Verdict.lasting(unheard());
         }
-        return Charter.of(core.current().updated(update));
+        return Verdict.agree(registrar.retirement(node), Answer.of(200, "{}"));
     }
 
-    private static String digest(final String text) {
-        try {
-            return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(text.getBytes(StandardCharsets.UTF_8)));
-        } catch (final NoSuchAlgorithmException defect) {
-            throw new IllegalStateException(defect);
-        }
+    private static Answer nodeUnknown(final String node) {
+        return Answer.deny(404, "NODE_UNKNOWN", node);
     }
 
-    private void retire(final String node, final Consumer<Answer> answer) {
-        if (!registrar.knows(node)) {
-            answer.accept(Answer.deny(404, "NODE_UNKNOWN", node));
-        } else if (core.facts().retiring(node) != null) {
-            answer.accept(Answer.of(200, "{}"));
-        } else if (!registrar.spares(node)) {
-            answer.accept(Answer.deny(409, "TOO_FEW", "too few store machines would be left"));
-        } else if (!ledger.propose(Core.bytes(registrar.retirement(node)), done -> answer.accept(done
-            ? Answer.of(200, "{}") : Answer.deny(503, "NO_LEADER", "the leader changed, ask again")))) {
-            answer.accept(elsewhere());
-        }
+    /** A leader knows the store machines by their calls: before they have called it knows nothing against an order. */
+    private static Answer unheard() {
+        return Answer.unclear("not all store machines have called yet, ask again");
     }
 
     /** A tenant's terms, and its account at each vault; one that is gone from the configuration may still owe. */
-    private void quotaShow(final String name, final Consumer<Answer> answer) {
+    private Answer quotaShow(final String name) {
         final Charter.Tenant tenant = core.current() == null ? null : core.current().tenant(name);
         final List<Map<String, Object>> rows = registrar.balanceRows(name);
         if (tenant == null && rows.isEmpty()) {
-            answer.accept(Answer.deny(404, "TENANT_UNKNOWN", name));
-            return;
+            return registrar.settled() ? Answer.deny(404, "TENANT_UNKNOWN", name) : unheard();
         }
         final Map<String, Object> page = new LinkedHashMap<>();
         page.put("Tenant", name);
@@ -233,15 +216,14 @@
         page.put("BorrowMax", tenant == null ? 0 : tenant.borrowMax());
         page.put("RepayShare", tenant == null ? 0 : tenant.repayPpm() / 1e6);
         page.put("Vaults", rows);
-        answer.accept(Answer.of(200, ConfigValueFactory.fromMap(page).render(ConfigRenderOptions.concise())));
+        return Answer.of(200, ConfigValueFactory.fromMap(page).render(ConfigRenderOptions.concise()));
     }
 
-    private void retireShow(final String node, final Consumer<Answer> answer) {
-        ledger.confirm(held -> {
-            final Facts.Retiring retiring = core.facts().retiring(node);
-            answer.accept(!held ? elsewhere()
-                : retiring == null && !registrar.knows(node) ? Answer.deny(404, "NODE_UNKNOWN", node)
-                : Answer.of(200, retiring != null && retiring.finished ? "{\"St\":\"finished\"}" : "{\"St\":\"up\"}"));
-        });
+    private Answer retireShow(final String node) {
+        final Facts.Retiring retiring = core.facts().retiring(node);
+        if (retiring == null && !registrar.knows(node)) {
+            return registrar.unknown(node) ? nodeUnknown(node) : unheard();
+        }
+        return Answer.of(200, retiring != null && retiring.finished ? "{\"St\":\"finished\"}" : "{\"St\":\"up\"}");
     }
 }
--- /dev/null
+++ b/src/main/java/yewjunction/charter/Order.java
@@ -0,0 +1,92 @@
+package yewjunction.charter;
+
+import com.typesafe.config.Config;
+import com.typesafe.config.ConfigException;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import yewjunction.base.Defect;
+
+import static yewjunction.base.Defect.Code.CONFIG_FIELD;
+import static yewjunction.base.Defect.Code.CONFIG_UNREADABLE;
+import static yewjunction.base.Defect.Code.CONFIG_VERSION;
+
+/** A change of the configuration as it was sent: what can be said of it whatever version is current. */
+final class Order {
+    final long base;
+    /** 0 where it names none. */
+    final long version;
+    final String digest;
+    private final Config sent;
+    /** What it makes of any base; null for an update, whose outcome its base decides. */
+    private Charter replacement;
+    /** Why it can be valid on no base at all, null where it can. */
+    private Defect defect;
+
+    private Order(final String shape, final long base, final Config sent) {
+        this.base = base;
+        this.sent = sent;
+        version = sent.hasPath("Ver") ? sent.getLong("Ver") : 0;
+        digest = digest(shape + " " + base + " " + Charter.render(sent));
+        try {
+            check(shape);
+        } catch (final Defect found) {
+            defect = found;
+        }
+    }
+
+    /** A header that was sent twice comes as "5, 5", one that was not as null. */
+    static boolean basedOnOne(final String base) {
+        try {
+            Long.parseLong(String.valueOf(base).trim());
+            return true;
+        } catch (final NumberFormatException defect) {
+            return false;
+        }
+    }
+
+    /** Throws a defect for what cannot be read at all. */
+    static Order read(final String shape, final String base, final byte[] body) {
+        try {
+            return new Order(shape, Long.parseLong(base.trim()), Charter.parse(new String(body, StandardCharsets.UTF_8)));
+        } catch (final ConfigException defect) {
+            throw new Defect(CONFIG_FIELD, defect.getMessage(), defect);
+        } catch (final StackOverflowError defect) {
+            // The reader calls itself for each level: a text that only opens brackets ends its stack, and nothing else.
+            throw new Defect(CONFIG_UNREADABLE, "nested too deeply", defect);
+        }
+    }
+
+    private void check(final String shape) {
+        if (shape.equals("config replace")) {
+            replacement = Charter.of(sent);
+        } else if (!sent.hasPath("Ver")) {
+            throw new Defect(CONFIG_FIELD, "Ver: is missing");
+        } else if (base == 0) {
+            // Base 0 is current only while there is nothing that an update could change.
+            throw new Defect(CONFIG_VERSION, "there is no configuration to update");
+        }
+        // Versions only rise: what names none above its own base is taken on no base.
+        if (version <= base) {
+            throw new Defect(CONFIG_VERSION, "Ver: must be above " + base);
+        }
+    }
+
+    Defect defect() {
+        return defect;
+    }
+
+    /** What it makes of its base. The base's text never changes, so neither does this, nor a defect found here. */
+    Charter on(final Charter current) {
+        return replacement != null ? replacement : Charter.of(current.updated(sent));
+    }
+
+    private static String digest(final String text) {
+        try {
+            return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(text.getBytes(StandardCharsets.UTF_8)));
+        } catch (final NoSuchAlgorithmException defect) {
+            throw new IllegalStateException(defect);
+        }
+    }
+}
--- a/src/main/java/yewjunction/charter/Registrar.java
+++ b/src/main/java/yewjunction/charter/Registrar.java
@@ -15,6 +15,7 @@
 import yewjunction.roster.Roster;
 import yewjunction.roster.Peer;
 
+import static yewjunction.base.ControlLimits.VAULTS_HEARD_MS;
 import static yewjunction.base.Limits.ENROL_MS;
 import static yewjunction.base.Limits.REPLICA_GONE_MS;
 import static yewjunction.base.Limits.VAULTS_WAIT_MS;
@@ -30,6 +31,7 @@
     private final Map<String, Seen> vaults = new TreeMap<>();
     private final Map<String, Long> goneMs = new HashMap<>();
     private long startedMs = -1;
+    private long leaderMs;
     private final Map<String, Who> early = new TreeMap<>();
     private final Set<String> proposed = new HashSet<>();
 
@@ -76,6 +78,7 @@
     }
 
     void leaderChanged() {
+        leaderMs = pulse.nowMs();
         final List<Who> kept = new ArrayList<>(early.values());
         early.clear();
         kept.forEach(this::heard);
@@ -182,6 +185,17 @@
         return vault(node) != null || core.facts().retiring(node) != null;
     }
 
+    /** Led long enough that every vault in touch has called: what is not known by now is not there. */
+    boolean settled() {
+        return pulse.nowMs() - leaderMs >= VAULTS_HEARD_MS;
+    }
+
+    /** Not of the system as far as this leader can know; one that called once and is silent now is of it. */
+    boolean unknown(final String node) {
+        return settled() && vaults.values().stream().noneMatch(seen -> seen.who.node.equals(node)
+            && pulse.nowMs() - seen.atMs < REPLICA_GONE_MS);
+    }
+
     /** Whether enough vaults stay when this one goes. */
     boolean spares(final String node) {
         final Set<String> retiring = core.facts().retiringAddresses();
--- /dev/null
+++ b/src/main/java/yewjunction/charter/Turns.java
@@ -0,0 +1,103 @@
+package yewjunction.charter;
+
+import java.util.ArrayDeque;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import yewjunction.base.Event;
+import yewjunction.base.Pulse;
+import yewjunction.ledger.Ledger;
+
+import static yewjunction.base.Limits.CALL_MS;
+
+/** The operator's changes, one at a time, so that each is checked against the one before. */
+final class Turns {
+    private final Pulse pulse;
+    private final Ledger ledger;
+    private final Supplier<Desk.Answer> elsewhere;
+    private final ArrayDeque<Turn> queue = new ArrayDeque<>();
+    private boolean busy;
+
+    private record Turn(Supplier<Verdict> look, Consumer<Desk.Answer> answer, long sinceMs, boolean confirmed) {
+    }
+
+    /** Elsewhere: what to say where this member does not lead. */
+    Turns(final Pulse pulse, final Ledger ledger, final Supplier<Desk.Answer> elsewhere) {
+        this.pulse = pulse;
+        this.ledger = ledger;
+        this.elsewhere = elsewhere;
+    }
+
+    void take(final Supplier<Verdict> look, final Consumer<Desk.Answer> answer) {
+        enter(new Turn(look, answer, pulse.nowMs(), false));
+    }
+
+    private void enter(final Turn turn) {
+        queue.add(turn);
+        if (!busy) {
+            next();
+        }
+    }
+
+    private void next() {
+        busy = true;
+        while (!queue.isEmpty()) {
+            if (!over(queue.poll())) {
+                return;
+            }
+        }
+        busy = false;
+    }
+
+    /** True when the next one may go on; false while the ledger has this one's deed. */
+    private boolean over(final Turn turn) {
+        if (pulse.nowMs() - turn.sinceMs > CALL_MS) {
+            // Its caller has been told that there is no answer, and asks again: begun now it would only be in the way.
+            turn.answer.accept(Desk.Answer.unclear("this took too long, ask again"));
+            return true;
+        }
+        if (!ledger.leads()) {
+            turn.answer.accept(elsewhere.get());
+            return true;
+        }
+        final Verdict verdict;
+        try {
+            verdict = turn.look.get();
+        } catch (final RuntimeException defect) {
+            // One call that cannot be worked out must not hold up all behind it for good.
+            Event.TURN_DEFECT.warn("an operator's call", defect);
+            turn.answer.accept(Desk.Answer.unclear("this could not be worked out"));
+            return true;
+        }
+        if (verdict.deed() != null) {
+            return !proposed(turn, verdict);
+        }
+        if (verdict.fact() && !turn.confirmed) {
+            // Asked outside the turn: others need not wait, and what they change meanwhile the second look sees.
+            ledger.confirm(held -> pulse.post(() -> confirmed(turn, held)));
+        } else {
+            turn.answer.accept(verdict.answer());
+        }
+        return true;
+    }
+
+    private boolean proposed(final Turn turn, final Verdict verdict) {
+        final boolean proposed = ledger.propose(Core.bytes(verdict.deed()), done -> {
+            // Not done is not refused: the next leader may hold it, and its repeat finds out.
+            turn.answer.accept(done ? verdict.answer() : Desk.Answer.unclear("the leader changed, ask again"));
+            next();
+        });
+        if (!proposed) {
+            turn.answer.accept(elsewhere.get());
+        }
+        return proposed;
+    }
+
+    /** Comes as a command of its own: the ledger drops questions before it has let go of its lead. */
+    private void confirmed(final Turn turn, final boolean held) {
+        if (held) {
+            enter(new Turn(turn.look, turn.answer, turn.sinceMs, true));
+        } else {
+            turn.answer.accept(elsewhere.get());
+        }
+    }
+}
