--- a/src/main/java/yewjunction/app/Process.java
+++ b/src/main/java/yewjunction/app/Process.java
@@ -101,6 +101,7 @@
     /** Opens the doors to the outside that this duty has. */
     private void listen() {
         if (node instanceof CruxNode crux) {
+            crux.desk().readBy(Web.reader(loom));
             Web.operator(settings.control(), loom, crux.desk()::take);
         } else if (node instanceof EdgeNode edge) {
             SocketLine.listen(loom, Addresses.parse(settings.front()), edge::greet);
--- a/src/main/java/yewjunction/app/Web.java
+++ b/src/main/java/yewjunction/app/Web.java
@@ -19,12 +19,12 @@
 import yewjunction.base.Event;
 import yewjunction.base.Pulse;
 import yewjunction.charter.Desk;
+import yewjunction.ledger.Clerk;
 import yewjunction.loom.Addresses;
 
 import static yewjunction.base.ControlLimits.CALL_READ_MOST;
 import static yewjunction.base.ControlLimits.CALL_THREAD_IDLE_MS;
 import static yewjunction.base.ControlLimits.CALL_TRANSFER_S;
-import static yewjunction.base.Limits.CALL_MS;
 import static yewjunction.base.Limits.CALL_THREADS;
 import static yewjunction.base.Limits.CONFIG_BYTES;
 
@@ -65,13 +65,13 @@
         // Read by the server when it is made: else a caller that was cut off half way would keep its thread.
         System.setProperty("sun.net.httpserver.maxReqTime", String.valueOf(CALL_TRANSFER_S));
         System.setProperty("sun.net.httpserver.maxRspTime", String.valueOf(CALL_TRANSFER_S));
-        final Executor pool = pool();
+        final Executor pool = pool("call", CALL_THREADS);
         return server(address, exchange -> {
             final Desk.Request request = read(exchange);
             final CompletableFuture<Desk.Answer> promise = new CompletableFuture<>();
             promise.thenAcceptAsync(answer -> reply(exchange, answer), pool);
             pulse.post(() -> {
-                pulse.after(CALL_MS, () -> promise.complete(NO_ANSWER));
+                pulse.after(request.patienceMs(), () -> promise.complete(NO_ANSWER));
                 try {
                     owner.take(request, promise::complete);
                 } catch (final RuntimeException defect) {
@@ -82,10 +82,22 @@
         }, pool);
     }
 
-    private static Executor pool() {
-        final ThreadPoolExecutor pool = new ThreadPoolExecutor(CALL_THREADS, CALL_THREADS, CALL_THREAD_IDLE_MS,
+    /** Reads large bodies on a thread of its own, which shares nothing with the owner. */
+    static Clerk reader(final Pulse pulse) {
+        final Executor pool = pool("reader", 1);
+        return (blocking, afterwards) -> pool.execute(() -> {
+            try {
+                blocking.run();
+            } finally {
+                pulse.post(afterwards);
+            }
+        });
+    }
+
+    private static Executor pool(final String name, final int threads) {
+        final ThreadPoolExecutor pool = new ThreadPoolExecutor(threads, threads, CALL_THREAD_IDLE_MS,
             TimeUnit.MILLISECONDS, new LinkedBlockingQueue<>(), task -> {
-                final Thread thread = new Thread(null, task, "call", 128 << 10);
+                final Thread thread = new Thread(null, task, name, 128 << 10);
                 thread.setDaemon(true);
                 return thread;
             });
--- a/src/main/java/yewjunction/base/ControlLimits.java
+++ b/src/main/java/yewjunction/base/ControlLimits.java
@@ -19,6 +19,8 @@
     public static final long VAULTS_HEARD_MS = 2_500;
     /** s; a caller that sends or reads for longer has gone: the largest body over 0.6 Mbit/s takes less. */
     public static final int CALL_TRANSFER_S = 15;
+    /** bytes; for so many a call may take a millisecond more than CALL_MS: a route has about 150, and is read in 0.1 ms. */
+    public static final int CALL_BYTES_PER_MS = 100;
     /** ms; an idle call thread goes after that. */
     public static final long CALL_THREAD_IDLE_MS = 2_000;
     /** bytes; a body that is too big is read so far before it is denied: closed on, its sender might not read the answer. */
--- a/src/main/java/yewjunction/charter/Desk.java
+++ b/src/main/java/yewjunction/charter/Desk.java
@@ -11,10 +11,13 @@
 import yewjunction.base.Defect;
 import yewjunction.base.Event;
 import yewjunction.base.Pulse;
+import yewjunction.ledger.Clerk;
 import yewjunction.ledger.Ledger;
 
 import static yewjunction.base.Defect.Code.CONFIG_FIELD;
 import static yewjunction.base.Defect.Code.CONFIG_VERSION;
+import static yewjunction.base.ControlLimits.CALL_BYTES_PER_MS;
+import static yewjunction.base.Limits.CALL_MS;
 import static yewjunction.base.Limits.CONFIG_BYTES;
 
 /** The operator's calls: one dispatch on method and path segments. All on the owner's thread. */
@@ -43,6 +46,10 @@
 
     /** Base: the header as HTTP joins it, "5, 5" when it came twice, null when it did not come. */
     public record Request(String method, String path, String base, byte[] body) {
+        /** How long its caller is thought to wait: longer for more routes, which take longer to read. */
+        public long patienceMs() {
+            return CALL_MS + body.length / CALL_BYTES_PER_MS;
+        }
     }
 
     Desk(final Pulse pulse, final Core core, final Ledger ledger, final Registrar registrar, final Outlook outlook) {
@@ -53,6 +60,11 @@
         this.registrar = registrar;
     }
 
+    /** Who reads large bodies, one at a time, beside the owner's thread; without one the owner does. */
+    public void readBy(final Clerk reader) {
+        turns.readBy(reader);
+    }
+
     static String quoted(final String text) {
         return com.typesafe.config.ConfigUtil.quoteString(String.valueOf(text));
     }
@@ -82,7 +94,7 @@
                 case "config replace", "config update" -> change(request, shape, answer);
                 case "quota show" -> tellConfirmed(() -> quotaShow(segments[3]), answer);
                 // In turn with all changes: two that begin at once must not both count on the same spare.
-                case "retire begin" -> turns.take(() -> retire(segments[3]), answer);
+                case "retire begin" -> turns.take(request.patienceMs(), () -> { }, () -> retire(segments[3]), answer);
                 default -> tellConfirmed(() -> retireShow(segments[3]), answer);
             }
         }
@@ -135,12 +147,8 @@
             }
             answer.accept(one);
         };
-        try {
-            final Order order = Order.read(shape, request.base, request.body);
-            turns.take(() -> look(order), noting);
-        } catch (final Defect defect) {
-            noting.accept(invalid(defect));
-        }
+        final Order order = new Order(shape, request.base, request.body);
+        turns.take(request.patienceMs(), order::read, () -> look(order), noting);
     }
 
     private static Answer invalid(final Defect defect) {
@@ -148,25 +156,26 @@
     }
 
     private Verdict look(final Order order) {
-        final Answer taken = Answer.of(200, "{\"Ver\":" + order.version + "}");
+        final Answer taken = Answer.of(200, "{\"Ver\":" + order.version() + "}");
         // First of all: what was taken is never refused, for whatever reason.
-        if (core.taken(order.version, order.digest)) {
+        if (core.taken(order.version(), order.digest())) {
             return Verdict.lasting(taken);
         }
         if (order.defect() != null) {
             return Verdict.lasting(invalid(order.defect()));
         }
-        if (core.forgot(order.version)) {
+        if (core.forgot(order.version())) {
             return Verdict.lasting(Answer.unclear("too long ago to know whether it was taken"));
         }
         if (order.base != core.version()) {
+            order.release();
             return Verdict.fact(Answer.deny(412, CONFIG_VERSION.name(), "version " + core.version() + " is current"));
         }
         try {
             final Charter next = order.on(core.current());
             final Deed deed = new Deed(Deed.CONFIG);
             deed.base = order.base;
-            deed.digest = order.digest;
+            deed.digest = order.digest();
             deed.json = next.json();
             deed.version = next.version();
             Patches.add(deed, core.current(), next);
--- a/src/main/java/yewjunction/charter/Order.java
+++ b/src/main/java/yewjunction/charter/Order.java
@@ -12,28 +12,27 @@
 import static yewjunction.base.Defect.Code.CONFIG_UNREADABLE;
 import static yewjunction.base.Defect.Code.CONFIG_VERSION;
 
-/** A change of the configuration as it was sent: what can be said of it whatever version is current. */
+/**
+ * A change of the configuration as it was sent, and what can be said of it whatever version is current. It is read by
+ * one thread at a time and handed on through queues; between two looks at it only its text is kept.
+ */
 final class Order {
+    private final String shape;
+    private final byte[] body;
     final long base;
     /** 0 where it names none. */
-    final long version;
-    final String digest;
-    private final Config sent;
+    private long version;
+    private String digest;
+    private Config sent;
     /** What it makes of any base; null for an update, whose outcome its base decides. */
     private Charter replacement;
     /** Why it can be valid on no base at all, null where it can. */
     private Defect defect;
 
-    private Order(final String shape, final long base, final Config sent) {
-        this.base = base;
-        this.sent = sent;
-        version = sent.hasPath("Ver") ? sent.getLong("Ver") : 0;
-        digest = digest(shape + " " + base + " " + Charter.render(sent));
-        try {
-            check(shape);
-        } catch (final Defect found) {
-            defect = found;
-        }
+    Order(final String shape, final String base, final byte[] body) {
+        this.shape = shape;
+        this.base = Long.parseLong(base.trim());
+        this.body = body;
     }
 
     /** A header that was sent twice comes as "5, 5", one that was not as null. */
@@ -46,19 +45,39 @@
         }
     }
 
-    /** Throws a defect for what cannot be read at all. */
-    static Order read(final String shape, final String base, final byte[] body) {
+    /** Takes long for a large one, and no table: done on a thread beside the owner's. */
+    void read() {
         try {
-            return new Order(shape, Long.parseLong(base.trim()), Charter.parse(new String(body, StandardCharsets.UTF_8)));
-        } catch (final ConfigException defect) {
-            throw new Defect(CONFIG_FIELD, defect.getMessage(), defect);
-        } catch (final StackOverflowError defect) {
+            sent = Charter.parse(new String(body, StandardCharsets.UTF_8));
+            version = sent.hasPath("Ver") ? sent.getLong("Ver") : 0;
+            digest = digest(shape + " " + base + " " + Charter.render(sent));
+            check();
+        } catch (final Defect found) {
+            defect = found;
+        } catch (final ConfigException found) {
+            defect = new Defect(CONFIG_FIELD, found.getMessage(), found);
+        } catch (final StackOverflowError found) {
             // The reader calls itself for each level: a text that only opens brackets ends its stack, and nothing else.
-            throw new Defect(CONFIG_UNREADABLE, "nested too deeply", defect);
+            defect = new Defect(CONFIG_UNREADABLE, "nested too deeply", found);
         }
     }
 
-    private void check(final String shape) {
+    /** What was read goes, the text stays: many that wait must not fill the memory. */
+    void release() {
+        sent = null;
+        replacement = null;
+    }
+
+    long version() {
+        return version;
+    }
+
+    /** Null where it could not be read at all. */
+    String digest() {
+        return digest;
+    }
+
+    private void check() {
         if (shape.equals("config replace")) {
             replacement = Charter.of(sent);
         } else if (!sent.hasPath("Ver")) {
@@ -79,6 +98,9 @@
 
     /** What it makes of its base. The base's text never changes, so neither does this, nor a defect found here. */
     Charter on(final Charter current) {
+        if (sent == null) {
+            read();
+        }
         return replacement != null ? replacement : Charter.of(current.updated(sent));
     }
 
--- a/src/main/java/yewjunction/charter/Turns.java
+++ b/src/main/java/yewjunction/charter/Turns.java
@@ -5,10 +5,9 @@
 import java.util.function.Supplier;
 import yewjunction.base.Event;
 import yewjunction.base.Pulse;
+import yewjunction.ledger.Clerk;
 import yewjunction.ledger.Ledger;
 
-import static yewjunction.base.Limits.CALL_MS;
-
 /** The operator's changes, one at a time, so that each is checked against the one before. */
 final class Turns {
     private final Pulse pulse;
@@ -16,8 +15,12 @@
     private final Supplier<Desk.Answer> elsewhere;
     private final ArrayDeque<Turn> queue = new ArrayDeque<>();
     private boolean busy;
+    private Clerk reader = (blocking, afterwards) -> {
+        blocking.run();
+        afterwards.run();
+    };
 
-    private record Turn(Supplier<Verdict> look, Consumer<Desk.Answer> answer, long sinceMs, boolean confirmed) {
+    private record Turn(Runnable reading, Supplier<Verdict> look, Consumer<Desk.Answer> answer, long untilMs, boolean confirmed) {
     }
 
     /** Elsewhere: what to say where this member does not lead. */
@@ -27,8 +30,13 @@
         this.elsewhere = elsewhere;
     }
 
-    void take(final Supplier<Verdict> look, final Consumer<Desk.Answer> answer) {
-        enter(new Turn(look, answer, pulse.nowMs(), false));
+    void readBy(final Clerk chosenReader) {
+        reader = chosenReader;
+    }
+
+    /** Reading: done beside the owner's thread, in this turn, before the first look. */
+    void take(final long patienceMs, final Runnable reading, final Supplier<Verdict> look, final Consumer<Desk.Answer> answer) {
+        enter(new Turn(reading, look, answer, pulse.nowMs() + patienceMs, false));
     }
 
     private void enter(final Turn turn) {
@@ -48,9 +56,9 @@
         busy = false;
     }
 
-    /** True when the next one may go on; false while the ledger has this one's deed. */
+    /** True when the next one may go on; false while this one is read, or the ledger has its deed. */
     private boolean over(final Turn turn) {
-        if (pulse.nowMs() - turn.sinceMs > CALL_MS) {
+        if (pulse.nowMs() > turn.untilMs) {
             // Its caller has been told that there is no answer, and asks again: begun now it would only be in the way.
             turn.answer.accept(Desk.Answer.unclear("this took too long, ask again"));
             return true;
@@ -59,6 +67,23 @@
             turn.answer.accept(elsewhere.get());
             return true;
         }
+        if (turn.confirmed) {
+            return looked(turn);
+        }
+        reader.work(turn.reading, () -> {
+            if (looked(turn)) {
+                next();
+            }
+        });
+        return false;
+    }
+
+    private boolean looked(final Turn turn) {
+        // Its reading took a while: what is taken now its repeat will know, but only a leader takes it.
+        if (!ledger.leads()) {
+            turn.answer.accept(elsewhere.get());
+            return true;
+        }
         final Verdict verdict;
         try {
             verdict = turn.look.get();
@@ -95,7 +120,7 @@
     /** Comes as a command of its own: the ledger drops questions before it has let go of its lead. */
     private void confirmed(final Turn turn, final boolean held) {
         if (held) {
-            enter(new Turn(turn.look, turn.answer, turn.sinceMs, true));
+            enter(new Turn(turn.reading, turn.look, turn.answer, turn.untilMs, true));
         } else {
             turn.answer.accept(elsewhere.get());
         }
