--- /dev/null
+++ b/src/test/java/yewjunction/app/WebTest.java
@@ -0,0 +1,168 @@
+package yewjunction.app;
+
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import yewjunction.base.Pulse;
+import yewjunction.charter.Desk;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static yewjunction.base.Limits.CONFIG_BYTES;
+
+/** The operator's door: calls that wait for a majority hold up no others. */
+class WebTest {
+    private static final int CALLS = 40;
+    private final ExecutorService owner = Executors.newSingleThreadExecutor();
+    private final HttpClient client = HttpClient.newHttpClient();
+    private final LinkedBlockingQueue<Runnable> alarms = new LinkedBlockingQueue<>();
+    private final List<Consumer<Desk.Answer>> held = new ArrayList<>();
+    private CountDownLatch waiting = new CountDownLatch(CALLS);
+    private HttpServer server;
+
+    /** Time passes when the test says so. */
+    private final Pulse pulse = new Pulse() {
+        @Override
+        public long nowMs() {
+            return 0;
+        }
+
+        @Override
+        public void after(final long delayMs, final Runnable task) {
+            alarms.add(task);
+        }
+
+        @Override
+        public void post(final Runnable command) {
+            owner.execute(command);
+        }
+
+        @Override
+        public Random luck() {
+            return new Random(1);
+        }
+    };
+
+    @AfterEach
+    void close() {
+        server.stop(0);
+        owner.shutdownNow();
+    }
+
+    /** Holds what is to be held; else tells what it was asked. */
+    private void take(final Desk.Request request, final Consumer<Desk.Answer> answer) {
+        if (request.path().equals("/hold")) {
+            held.add(answer);
+            waiting.countDown();
+        } else if (request.path().equals("/break")) {
+            throw new IllegalStateException("planted");
+        } else {
+            answer.accept(new Desk.Answer(200, "[" + request.base() + "]" + request.body().length, null));
+        }
+    }
+
+    private HttpRequest.Builder to(final String path) {
+        return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + server.getAddress().getPort() + path));
+    }
+
+    private String ask(final HttpRequest.Builder request) throws IOException, InterruptedException {
+        return client.send(request.build(), HttpResponse.BodyHandlers.ofString()).body();
+    }
+
+    private List<CompletableFuture<HttpResponse<String>>> hold(final int count) {
+        final List<CompletableFuture<HttpResponse<String>>> calls = new ArrayList<>();
+        for (int call = 0; call < count; call++) {
+            calls.add(client.sendAsync(to("/hold").build(), HttpResponse.BodyHandlers.ofString()));
+        }
+        return calls;
+    }
+
+    @Test
+    void callsThatWaitHoldUpNoOthers() throws Exception {
+        server = Web.operator("127.0.0.1:0", pulse, this::take);
+        final List<CompletableFuture<HttpResponse<String>>> calls = hold(CALLS);
+        assertTrue(waiting.await(20, TimeUnit.SECONDS), waiting.getCount() + " calls never came to the owner");
+        assertEquals("[null]0", ask(to("/look")));
+        owner.submit(() -> held.forEach(answer -> answer.accept(new Desk.Answer(200, "held", null)))).get();
+        for (final CompletableFuture<HttpResponse<String>> call : calls) {
+            assertEquals("held", call.get(20, TimeUnit.SECONDS).body());
+        }
+    }
+
+    /** The planted fault: each call keeps its thread until it is answered. */
+    @Test
+    void callsThatKeepTheirThreadsAreFound() throws Exception {
+        server = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 64);
+        final CountDownLatch over = new CountDownLatch(1);
+        server.createContext("/", exchange -> {
+            waiting.countDown();
+            try {
+                over.await();
+            } catch (final InterruptedException defect) {
+                Thread.currentThread().interrupt();
+            }
+            exchange.close();
+        });
+        final ExecutorService threads = Executors.newFixedThreadPool(16);
+        server.setExecutor(threads);
+        server.start();
+        hold(CALLS);
+        assertFalse(waiting.await(500, TimeUnit.MILLISECONDS));
+        over.countDown();
+        threads.shutdownNow();
+    }
+
+    @Test
+    void aCallWithoutAnAnswerEndsWhenItsTimeIsOver() throws Exception {
+        server = Web.operator("127.0.0.1:0", pulse, this::take);
+        waiting = new CountDownLatch(1);
+        final CompletableFuture<HttpResponse<String>> call = hold(1).get(0);
+        assertTrue(waiting.await(20, TimeUnit.SECONDS));
+        alarms.take().run();
+        assertEquals(503, call.get(20, TimeUnit.SECONDS).statusCode());
+        // An answer that comes after that goes nowhere, and the next call is served.
+        owner.submit(() -> held.get(0).accept(new Desk.Answer(200, "late", null))).get();
+        assertEquals("[null]0", ask(to("/look")));
+        assertEquals(503, client.send(to("/break").build(), HttpResponse.BodyHandlers.ofString()).statusCode());
+        assertEquals("[null]0", ask(to("/look")));
+    }
+
+    @Test
+    void theOwnerSeesAHeaderAsOftenAsItCame() throws Exception {
+        server = Web.operator("127.0.0.1:0", pulse, this::take);
+        assertEquals("[5]0", ask(to("/look").header("base-version", "5")));
+        assertEquals("[5, 5]0", ask(to("/look").header("Base-Version", "5").header("Base-Version", "5")));
+        assertEquals("[5, 6]0", ask(to("/look").header("Base-Version", "5").header("base-version", "6")));
+        // More than the most is seen as just that, and read to its end, so that its sender reads the answer.
+        assertEquals("[null]" + (CONFIG_BYTES + 1), ask(to("/look").POST(HttpRequest.BodyPublishers.ofByteArray(new byte[5 * CONFIG_BYTES]))));
+    }
+
+    @Test
+    void theReaderComesBackAlsoFromADefect() throws Exception {
+        server = Web.operator("127.0.0.1:0", pulse, this::take);
+        final CountDownLatch back = new CountDownLatch(2);
+        final var reader = Web.reader(pulse);
+        reader.work(() -> {
+            throw new IllegalStateException("planted");
+        }, back::countDown);
+        reader.work(() -> { }, back::countDown);
+        assertTrue(back.await(20, TimeUnit.SECONDS));
+    }
+}
