--- a/src/main/java/yewjunction/base/ControlLimits.java
+++ b/src/main/java/yewjunction/base/ControlLimits.java
@@ -25,4 +25,19 @@
     public static final long CALL_THREAD_IDLE_MS = 2_000;
     /** bytes; a body that is too big is read so far before it is denied: closed on, its sender might not read the answer. */
     public static final int CALL_READ_MOST = 16 << 20;
+    // --- snapshots on their way ---
+    /** bytes; the first and smallest piece: 16 ms of a link of 2 Mbit/s, so that beats get through between two. */
+    public static final int IMAGE_LEAST_BYTES = 4 << 10;
+    /** ms; what a piece may spend on the link beyond the round trip before the next is no larger: a third of a beat. */
+    public static final long IMAGE_PACE_MS = 30;
+    /** ms; an unanswered piece is asked after, by a letter without a body: the piece itself may still be on a slow link. */
+    public static final long IMAGE_ASK_MS = 800;
+    /** ms; a receiver silent for so long is given up: as long as a leader remembers a member that has no vote. */
+    public static final long IMAGE_GONE_MS = 14_000;
+    /** snapshots; built at most for all receivers together: each is a whole state in memory. */
+    public static final int IMAGES_MOST = 2;
+    /** entries and bytes; kept in the log for members that catch up: 100 s of the largest load, a third of a crux's file. */
+    public static final int CATCH_UP_ENTRIES = 50_000, CATCH_UP_BYTES = 8 << 20;
+    /** bytes; a snapshot that is announced larger is not taken: no record of a ledger is. */
+    public static final int IMAGE_MOST_BYTES = 64 << 20;
 }
--- a/src/main/java/yewjunction/ledger/Course.java
+++ b/src/main/java/yewjunction/ledger/Course.java
@@ -7,6 +7,8 @@
 import java.util.function.Consumer;
 import yewjunction.base.Event;
 
+import static yewjunction.base.ControlLimits.CATCH_UP_BYTES;
+import static yewjunction.base.ControlLimits.CATCH_UP_ENTRIES;
 import static yewjunction.base.Limits.LEDGER_BYTES;
 import static yewjunction.base.Limits.LEDGER_TAIL_BYTES;
 import static yewjunction.base.Limits.LEDGER_TAIL_ENTRIES;
@@ -137,6 +139,7 @@
             ledger.leading.advanced();
         }
         ledger.relay.committed();
+        ledger.leading.images.committed(commit);
         machine.settled(commit);
         shorten();
     }
@@ -148,6 +151,7 @@
         }
         rewriting = true;
         ledger.log.dropTo(tailStart());
+        ledger.leading.images.tidy(ledger.pulse.nowMs());
         ledger.archive.rewrite(applied, machine.snapshot(), () -> {
             rewriting = false;
             rewrittenBytes = ledger.archive.bytes();
@@ -155,15 +159,14 @@
         });
     }
 
-    /** A tail stays for peers that were away a short while: so many entries, and not too many bytes. */
+    /**
+     * A tail stays for peers that were away a short while, and a longer one, within its own bound, for those that catch
+     * up: the log cut past what they hold would send them back to a first byte.
+     */
     private long tailStart() {
-        long start = applied;
-        long bytes = 0;
-        while (start > ledger.log.baseIndex() && applied - start < LEDGER_TAIL_ENTRIES && bytes < LEDGER_TAIL_BYTES) {
-            bytes += ledger.log.get(start).data.length;
-            start--;
-        }
-        return start;
+        final long start = Math.min(ledger.log.reachBack(applied, LEDGER_TAIL_ENTRIES, LEDGER_TAIL_BYTES),
+            ledger.leading.images.unneeded(ledger.pulse.nowMs()));
+        return Math.max(start, ledger.log.reachBack(applied, CATCH_UP_ENTRIES, CATCH_UP_BYTES));
     }
 
     byte[] image() {
--- a/src/main/java/yewjunction/ledger/Following.java
+++ b/src/main/java/yewjunction/ledger/Following.java
@@ -151,6 +151,10 @@
         }
         final Append asked = new Append();
         asked.from = image.from;
+        // The entry that a snapshot ends with is here: so is all before it, and what is behind it must stay.
+        if (ledger.log.termAt(image.lastIndex) == image.lastTerm) {
+            ledger.course.commitTo(image.lastIndex);
+        }
         // What is committed here the leader has too: said so, or it would send the same again and again.
         if (image.lastIndex <= ledger.commit()) {
             answer(link, asked, true, Math.min(ledger.commit(), ledger.course.syncedIndex()));
--- a/src/main/java/yewjunction/ledger/Images.java
+++ b/src/main/java/yewjunction/ledger/Images.java
@@ -1,33 +1,70 @@
 package yewjunction.ledger;
 
-import java.io.ByteArrayOutputStream;
 import java.util.Arrays;
+import java.util.Comparator;
 import java.util.HashMap;
-import java.util.Map;
 import java.util.List;
+import java.util.Map;
 import yewjunction.ledger.Letters.Image;
 import yewjunction.ledger.Letters.ImageAnswer;
 
-import static yewjunction.base.Limits.APPEND_AGAIN_MS;
+import static yewjunction.base.ControlLimits.CATCH_UP_BYTES;
+import static yewjunction.base.ControlLimits.CATCH_UP_ENTRIES;
+import static yewjunction.base.ControlLimits.IMAGES_MOST;
+import static yewjunction.base.ControlLimits.IMAGE_ASK_MS;
+import static yewjunction.base.ControlLimits.IMAGE_GONE_MS;
+import static yewjunction.base.ControlLimits.IMAGE_LEAST_BYTES;
+import static yewjunction.base.ControlLimits.IMAGE_MOST_BYTES;
+import static yewjunction.base.ControlLimits.IMAGE_PACE_MS;
 import static yewjunction.base.Limits.IMAGE_PIECE_BYTES;
 
-/** Snapshots on their way: from a leader in bounded pieces, each after the answer to the one before. */
+/**
+ * Snapshots on their way: from a leader in pieces, each after the answer to the one before. One that was begun is finished:
+ * it ends when the receiver has installed it or is elsewhere, is gone for long, or the leadership ends.
+ */
 final class Images {
     private final Ledger ledger;
     private final Leading leading;
     private final Map<String, Sending> sendings = new HashMap<>();
+    private long snapshots;
     private Receiving receiving;
 
-    /** One snapshot for one peer. */
-    private record Sending(long lastIndex, long lastTerm, List<String> voters, byte[] state) {
+    /** A snapshot, shared by all that receive it. Its number never returns in this life, nor its term in another. */
+    private record Snapshot(long number, long lastIndex, long lastTerm, List<String> voters, byte[] state) {
+    }
+
+    /** How far one peer is with it. */
+    private static final class Sending {
+        final Snapshot snapshot;
+        int offset;
+        int pieceBytes = IMAGE_LEAST_BYTES;
+        /** Counts letters; and which of them was the last that carried a piece. */
+        int attempt;
+        int pieceAttempt;
+        long sentMs;
+        long roundTripMs = Long.MAX_VALUE;
+
+        Sending(final Snapshot snapshot) {
+            this.snapshot = snapshot;
+        }
     }
 
     /** The pieces that have come. */
     private static final class Receiving {
-        String from;
-        long term;
-        long lastIndex;
-        final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        final String from;
+        final long term;
+        final long number;
+        final long lastIndex;
+        final byte[] state;
+        int held;
+
+        Receiving(final Image image) {
+            from = image.from;
+            term = image.term;
+            number = image.number;
+            lastIndex = image.lastIndex;
+            state = new byte[image.length];
+        }
     }
 
     Images(final Ledger ledger, final Leading leading) {
@@ -39,65 +76,146 @@
         sendings.clear();
     }
 
-    /** Begins, or asks again with the first piece when nothing was answered for a while. */
-    void send(final String identity, final Standing standing, final long nowMs) {
-        if (nowMs - standing.sentMs < 2 * APPEND_AGAIN_MS) {
+    boolean sends(final String identity) {
+        return sendings.containsKey(identity);
+    }
+
+    /** Begins, or asks after the piece that was not answered for a while: never from the first byte again. */
+    void send(final String identity, final long nowMs) {
+        Sending sending = sendings.get(identity);
+        if (sending == null) {
+            sending = new Sending(snapshot());
+            sendings.put(identity, sending);
+        } else if (nowMs - sending.sentMs < IMAGE_ASK_MS) {
             return;
         }
+        // What is held is asked for first: a piece that is late would only be doubled on a slow link.
+        letter(identity, sending, sending.offset, nowMs);
+    }
+
+    /** The newest one under way, unless the log behind it has grown so long that its receiver may never reach the end. */
+    private Snapshot snapshot() {
+        final List<Snapshot> under = sendings.values().stream().map(sending -> sending.snapshot).distinct()
+            .sorted(Comparator.comparingLong(Snapshot::number).reversed()).toList();
         final long applied = ledger.applied();
-        final Sending sending = new Sending(applied, ledger.log.termAt(applied), ledger.log.votersAt(applied), ledger.course.image());
-        sendings.put(identity, sending);
-        piece(identity, standing, sending, 0, nowMs);
+        if (!under.isEmpty() && (under.size() >= IMAGES_MOST
+            || ledger.log.reachBack(applied, CATCH_UP_ENTRIES / 2, CATCH_UP_BYTES / 2) <= under.get(0).lastIndex)) {
+            return under.get(0);
+        }
+        return new Snapshot(++snapshots, applied, ledger.log.termAt(applied), ledger.log.votersAt(applied), ledger.course.image());
     }
 
-    private void piece(final String identity, final Standing standing, final Sending sending, final int offset, final long nowMs) {
-        standing.sentMs = nowMs;
+    private void letter(final String identity, final Sending sending, final int endOffset, final long nowMs) {
+        sending.sentMs = nowMs;
+        sending.attempt++;
+        final Snapshot snapshot = sending.snapshot;
         final Image image = new Image();
-        image.lastIndex = sending.lastIndex;
-        image.lastTerm = sending.lastTerm;
-        image.voters = sending.voters;
-        image.offset = offset;
-        image.length = sending.state.length;
-        image.piece = Arrays.copyOfRange(sending.state, offset, Math.min(offset + IMAGE_PIECE_BYTES, sending.state.length));
+        image.lastIndex = snapshot.lastIndex;
+        image.lastTerm = snapshot.lastTerm;
+        image.voters = snapshot.voters;
+        image.offset = sending.offset;
+        image.length = snapshot.state.length;
+        image.piece = Arrays.copyOfRange(snapshot.state, sending.offset, endOffset);
+        image.number = snapshot.number;
+        image.attempt = sending.attempt;
         ledger.sendTo(identity, image);
     }
 
     void answered(final ImageAnswer answer) {
+        ledger.seen(answer.term);
         final Standing standing = leading.standings.get(answer.from);
         final Sending sending = sendings.get(answer.from);
-        if (ledger.leadsTerm() && standing != null && sending != null && sending.lastIndex == answer.lastIndex) {
-            standing.heardMs = ledger.pulse.nowMs();
-            if (answer.held >= sending.state.length) {
-                // The rest is the ledger's: the peer answers once it has the whole on disk.
-                sendings.remove(answer.from);
-            } else {
-                piece(answer.from, standing, sending, answer.held, standing.heardMs);
+        if (!ledger.leadsTerm() || answer.term != ledger.archive.term || standing == null || sending == null
+            || sending.snapshot.number != answer.number || answer.held < 0 || answer.held > sending.snapshot.state.length) {
+            return;
+        }
+        final long nowMs = ledger.pulse.nowMs();
+        standing.heardMs = nowMs;
+        // Letters keep their order: an answer to one before the last piece does not say whether that piece came.
+        if (answer.held <= sending.offset && answer.attempt < sending.pieceAttempt) {
+            return;
+        }
+        if (answer.attempt == sending.attempt) {
+            pace(sending, nowMs - sending.sentMs);
+        }
+        sending.offset = answer.held;
+        if (answer.held < sending.snapshot.state.length) {
+            letter(answer.from, sending, (int) Math.min((long) sending.offset + sending.pieceBytes, sending.snapshot.state.length), nowMs);
+            sending.pieceAttempt = sending.attempt;
+        }
+        // The rest is the ledger's: the peer answers once it has the whole on disk, and is asked until then.
+    }
+
+    /** Pieces grow while the link takes them within a beat, and shrink where they would hold beats up. */
+    private static void pace(final Sending sending, final long tookMs) {
+        sending.roundTripMs = Math.min(sending.roundTripMs, tookMs);
+        final long onLinkMs = tookMs - sending.roundTripMs;
+        if (onLinkMs <= IMAGE_PACE_MS) {
+            sending.pieceBytes = Math.min(2 * sending.pieceBytes, IMAGE_PIECE_BYTES);
+        } else if (onLinkMs > 2 * IMAGE_PACE_MS) {
+            sending.pieceBytes = Math.max(sending.pieceBytes / 2, IMAGE_LEAST_BYTES);
+        }
+    }
+
+    /** Ends what is done or can no longer help: its receiver has it, or is gone, or the log no longer begins before its end. */
+    void tidy(final long nowMs) {
+        sendings.entrySet().removeIf(one -> {
+            final Standing standing = leading.standings.get(one.getKey());
+            final long lastIndex = one.getValue().snapshot.lastIndex;
+            return standing == null || standing.match >= lastIndex || nowMs - standing.heardMs > IMAGE_GONE_MS
+                || lastIndex < ledger.log.baseIndex();
+        });
+    }
+
+    /** Up to where nobody that catches up needs the log: the end of a snapshot under way, then what its receiver holds. */
+    long unneeded(final long nowMs) {
+        long unneeded = Long.MAX_VALUE;
+        if (ledger.leadsTerm()) {
+            for (final Map.Entry<String, Standing> one : leading.standings.entrySet()) {
+                final Sending sending = sendings.get(one.getKey());
+                final long held = sending == null ? one.getValue().match : sending.snapshot.lastIndex;
+                if (!one.getKey().equals(ledger.identity()) && held >= ledger.log.baseIndex()
+                    && nowMs - one.getValue().heardMs <= IMAGE_GONE_MS) {
+                    unneeded = Math.min(unneeded, held);
+                }
             }
         }
+        return unneeded;
     }
 
     /** Takes a piece; the whole state once the last one is there, else null. */
     byte[] taken(final Image image) {
-        if (receiving == null || !receiving.from.equals(image.from) || receiving.term != image.term
-            || receiving.lastIndex != image.lastIndex) {
-            receiving = new Receiving();
-            receiving.from = image.from;
-            receiving.term = image.term;
-            receiving.lastIndex = image.lastIndex;
+        final boolean sameLeader = receiving != null && receiving.from.equals(image.from) && receiving.term == image.term;
+        // A late letter of one that its sender gave up, or nothing that a ledger could hold.
+        if (sameLeader && image.number < receiving.number || image.length < 0 || image.length > IMAGE_MOST_BYTES) {
+            return null;
+        }
+        if (!sameLeader || image.number > receiving.number) {
+            receiving = new Receiving(image);
         }
         // One that was lost with a link leaves a gap: the answer names what is missing.
-        if (image.offset == receiving.bytes.size()) {
-            receiving.bytes.writeBytes(image.piece);
+        if (image.offset == receiving.held && image.piece.length <= receiving.state.length - receiving.held) {
+            System.arraycopy(image.piece, 0, receiving.state, receiving.held, image.piece.length);
+            receiving.held += image.piece.length;
         }
         final ImageAnswer answer = ledger.addressed(new ImageAnswer(), image.from);
         answer.lastIndex = image.lastIndex;
-        answer.held = receiving.bytes.size();
+        answer.held = receiving.held;
+        answer.number = image.number;
+        answer.attempt = image.attempt;
         ledger.sendTo(image.from, answer);
-        if (receiving.bytes.size() < image.length) {
+        if (receiving.held < receiving.state.length) {
             return null;
         }
-        final byte[] state = receiving.bytes.toByteArray();
+        final byte[] state = receiving.state;
         receiving = null;
         return state;
     }
+
+    /** All up to there is committed here: a snapshot that ends before it is no longer of use. */
+    void committed(final long commit) {
+        if (receiving != null && receiving.lastIndex <= commit) {
+            receiving = null;
+        }
+    }
 }
--- a/src/main/java/yewjunction/ledger/Leading.java
+++ b/src/main/java/yewjunction/ledger/Leading.java
@@ -46,7 +46,6 @@
         standings.clear();
         electorate.reset();
         tempo.reset();
-        images.drop();
         announced = false;
         ledger.voters().forEach(this::standing);
         firstIndex = ledger.log.lastIndex() + 1;
@@ -57,6 +56,7 @@
     void end() {
         era++;
         electorate.reset();
+        images.drop();
         rounds.drop();
     }
 
@@ -92,6 +92,7 @@
             return;
         }
         tempo.beat(rounds.next());
+        images.tidy(nowMs);
         electorate.relays(nowMs);
         wanted = true;
         sendAll();
@@ -155,8 +156,10 @@
         }
         final boolean silent = nowMs - standing.heardMs > APPEND_AGAIN_MS;
         // A newcomer with nothing also needs to learn who votes, which only a snapshot tells.
-        if (standing.next <= log.baseIndex() || standing.next == 1 && !ledger.voters().contains(identity)) {
-            images.send(identity, standing, nowMs);
+        // None is built for a silent peer: it gets a beat, which it denies once it is back.
+        final boolean behind = standing.next <= log.baseIndex() || standing.next == 1 && !ledger.voters().contains(identity);
+        if (behind && (!silent || images.sends(identity))) {
+            images.send(identity, nowMs);
             return;
         }
         final Append append = new Append();
@@ -169,10 +172,7 @@
         if (!silent) {
             append.entries = log.slice(standing.next, APPEND_ENTRIES, APPEND_BYTES);
         }
-        if (!append.entries.isEmpty()) {
-            standing.next += append.entries.size();
-            standing.sentMs = nowMs;
-        }
+        standing.next += append.entries.size();
         ledger.sendTo(identity, append);
     }
 
--- a/src/main/java/yewjunction/ledger/Letters.java
+++ b/src/main/java/yewjunction/ledger/Letters.java
@@ -91,12 +91,19 @@
         int offset;
         int length;
         byte[] piece = new byte[0];
+        /** Which of the sender's snapshots in its term: two of the same index may differ in their bytes. */
+        long number;
+        /** Which letter of this snapshot; one without a piece only asks what is held. */
+        int attempt;
     }
 
     /** How much of a snapshot a peer holds. */
     static final class ImageAnswer extends Letter {
         long lastIndex;
         int held;
+        /** Of the letter that it answers. */
+        long number;
+        int attempt;
     }
 
     /** The leader stops: stand for election now. */
--- a/src/main/java/yewjunction/ledger/Log.java
+++ b/src/main/java/yewjunction/ledger/Log.java
@@ -75,6 +75,17 @@
         entries.trimToSize();
     }
 
+    /** How far back of an index the log reaches within so many entries and bytes. */
+    long reachBack(final long index, final int mostEntries, final int mostBytes) {
+        long start = index;
+        long bytes = 0;
+        while (start > baseIndex && index - start < mostEntries && bytes < mostBytes) {
+            bytes += get(start).data.length;
+            start--;
+        }
+        return start;
+    }
+
     /** The voters in force when the log ends at that index. */
     List<String> votersAt(final long index) {
         for (int place = voterChanges.size() - 1; place >= 0; place--) {
--- a/src/main/java/yewjunction/ledger/Standing.java
+++ b/src/main/java/yewjunction/ledger/Standing.java
@@ -8,7 +8,6 @@
     long match;
     long round;
     long heardMs;
-    long sentMs;
     double late;
     boolean wantsVote;
     /** When it last said that its process ends, 0 when it did not. */
--- a/src/test/java/yewjunction/ledger/LedgerSim.java
+++ b/src/test/java/yewjunction/ledger/LedgerSim.java
@@ -11,6 +11,7 @@
 import yewjunction.sim.SimPost;
 import yewjunction.sim.World;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Three members on simulated machines, a steady load, and what must hold at every moment. */
@@ -29,6 +30,8 @@
     final Set<String> forgotten = new HashSet<>();
     /** The planted fault: nobody hears that a member ends. */
     boolean deaf;
+    /** Bytes that each snapshot holds beside what its member was told. */
+    int ballast;
     private long proposed;
     private int drawn;
 
@@ -52,16 +55,19 @@
 
         @Override
         public byte[] snapshot() {
-            final ByteBuffer bytes = ByteBuffer.allocate(16 * told.size());
+            // As the vaults' state does, it differs from one moment to the next without any entry: stamped at both ends.
+            final ByteBuffer bytes = ByteBuffer.allocate(20 + 16 * told.size() + ballast);
+            bytes.putLong(world.nowMs()).putInt(told.size());
             told.forEach((index, value) -> bytes.putLong(index).putLong(value));
-            return bytes.array();
+            return bytes.putLong(bytes.limit() - 8, world.nowMs()).array();
         }
 
         @Override
         public void restore(final long index, final byte[] state) {
             told.clear();
             final ByteBuffer bytes = ByteBuffer.wrap(state);
-            while (bytes.hasRemaining()) {
+            assertEquals(bytes.getLong(), bytes.getLong(state.length - 8), "a snapshot put together from two");
+            for (int left = bytes.getInt(); left > 0; left--) {
                 put(bytes.getLong(), bytes.getLong());
             }
             last = index;
--- a/src/test/java/yewjunction/sim/SimPost.java
+++ b/src/test/java/yewjunction/sim/SimPost.java
@@ -79,7 +79,8 @@
                 }
                 return;
             }
-            lastArrivalMicros = Math.max(lastArrivalMicros + 1, world.nowMicros() + world.delayMicros(owner.host.address, target.owner.host.address));
+            lastArrivalMicros = Math.max(lastArrivalMicros + 1, world.nowMicros()
+                + world.linkMicros(owner.host.address, bytes.length) + world.delayMicros(owner.host.address, target.owner.host.address));
             world.afterMicros(lastArrivalMicros - world.nowMicros(), () -> target.owner.host.guarded(target.owner.life, () -> {
                 if (target.open) {
                     target.owner.take(target, bytes);
--- a/src/test/java/yewjunction/sim/World.java
+++ b/src/test/java/yewjunction/sim/World.java
@@ -20,6 +20,9 @@
     private long order;
     private String draggedMachine;
     private long dragMicros;
+    /** Bytes a second that a machine may send, and until when its link is busy with what it was given. */
+    private final Map<String, Long> narrow = new TreeMap<>();
+    private final Map<String, Long> busyMicros = new TreeMap<>();
     /** Share of datagrams lost, and of TCP pieces that need to be sent again. */
     public double loss = 0.01;
     /** Counts all letters; null for nobody. */
@@ -130,6 +133,22 @@
         dragMicros = extraMs * 1_000;
     }
 
+    /** A machine whose link to all others carries no more than that. */
+    public void narrow(final String address, final long bytesPerSecond) {
+        narrow.put(machine(address), bytesPerSecond);
+    }
+
+    /** How long a letter waits for, and spends on, the sender's link. */
+    long linkMicros(final String from, final int bytes) {
+        final Long rate = narrow.get(machine(from));
+        if (rate == null) {
+            return 0;
+        }
+        final long doneMicros = Math.max(nowMicros, busyMicros.getOrDefault(machine(from), 0L)) + bytes * 1_000_000L / rate;
+        busyMicros.put(machine(from), doneMicros);
+        return doneMicros - nowMicros;
+    }
+
     long delayMicros(final String one, final String other) {
         final boolean dragged = machine(one).equals(draggedMachine) || machine(other).equals(draggedMachine);
         return delayMicros() + (dragged ? dragMicros : 0);
