Probes count answers only of whom was asked, and of this life

Probes, detours and their echoes were matched by a counter that began at 0 in each life and went by datagram, so that an echo to an earlier life of the asker, or one that another peer sent, answered for a peer that was dead. It then was not suspected for that period. Each second opinion is a question of its own. The rhythm of probes across zones stays as it was.

Two of them plant the fault (numbers alike in each life; the answer taken for the dead peer's own) and show it.

--- /dev/null
+++ b/src/main/java/yewjunction/base/Questions.java
@@ -0,0 +1,65 @@
+package yewjunction.base;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+
+import static yewjunction.base.ControlLimits.QUESTION_BITS;
+
+/**
+ * Questions that one life of a process has asked and that are open, each by its number, with whom it was asked of. An answer
+ * counts once, and only from that one. Numbers go on from a start drawn with each life, so that an answer to an earlier life
+ * meets none: the number alone says whose question it was, and the letters need no further field.
+ *
+ * @param <P> who is asked: a link, which ends with either process, or the address where datagrams leave nothing better
+ * @param <T> what the asker wants back with the answer
+ */
+public final class Questions<P, T> {
+    private final Map<Long, Question<P, T>> open = new HashMap<>();
+    private long newest;
+
+    private record Question<P, T>(P peer, T about) {
+    }
+
+    public Questions(final Pulse pulse) {
+        newest = pulse.luck().nextLong() >>> Long.SIZE - QUESTION_BITS;
+    }
+
+    /** The number that the answer is to repeat. */
+    public long ask(final P peer, final T about) {
+        open.put(++newest, new Question<>(peer, about));
+        return newest;
+    }
+
+    /** What was asked; null when nothing open by that number was asked of that peer, and then nothing changes. */
+    public T answered(final long number, final P from) {
+        final Question<P, T> question = open.get(number);
+        if (question == null || !question.peer.equals(from)) {
+            return null;
+        }
+        open.remove(number);
+        return question.about;
+    }
+
+    public boolean isOpen(final long number) {
+        return open.containsKey(number);
+    }
+
+    /** No answer to it counts any more. */
+    public void drop(final long number) {
+        open.remove(number);
+    }
+
+    public void dropAll() {
+        open.clear();
+    }
+
+    /** Gives up all that it holds for, and says what they were about. */
+    public List<T> drop(final Predicate<T> over) {
+        final List<T> dropped = new ArrayList<>();
+        open.values().removeIf(question -> over.test(question.about) && dropped.add(question.about));
+        return dropped;
+    }
+}
--- a/src/main/java/yewjunction/roster/Prober.java
+++ b/src/main/java/yewjunction/roster/Prober.java
@@ -3,11 +3,9 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collections;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
-import java.util.function.Consumer;
 import yewjunction.base.Pulse;
+import yewjunction.base.Questions;
 import yewjunction.roster.Letters.Detour;
 import yewjunction.roster.Letters.Echo;
 import yewjunction.roster.Letters.Letter;
@@ -24,12 +22,15 @@
     private final Roster roster;
     private final ArrayDeque<String> nearTurn = new ArrayDeque<>();
     private final ArrayDeque<String> farTurn = new ArrayDeque<>();
-    private final Map<Long, Consumer<Peer>> awaited = new HashMap<>();
-    private long probeNumber;
+    /** By address: a datagram has no link that would end with its sender. */
+    private final Questions<String, Runnable> questions;
+    /** Sent, for others too: what is asked for them changes the turn, or all that started together would look across together. */
+    private long probes;
 
     Prober(final Pulse pulse, final Roster roster) {
         this.pulse = pulse;
         this.roster = roster;
+        questions = new Questions<>(pulse);
     }
 
     void start() {
@@ -43,24 +44,28 @@
             echo.number = probe.number;
             roster.send(from, echo);
         } else if (letter instanceof Echo echo) {
-            final Consumer<Peer> awaiting = awaited.remove(echo.number);
-            if (awaiting != null) {
-                awaiting.accept(letter.self);
+            final Runnable answered = questions.answered(echo.number, letter.self.address);
+            if (answered != null) {
+                answered.run();
             }
         } else if (letter instanceof Detour detour) {
-            final long number = ++probeNumber;
-            awaited.put(number, peer -> {
+            final long number = probe(detour.target, () -> {
                 final Echo echo = new Echo();
                 echo.number = detour.number;
                 roster.send(from, echo);
             });
-            pulse.after(PROBE_MS, () -> awaited.remove(number));
-            final Probe probe = new Probe();
-            probe.number = number;
-            roster.send(detour.target, probe);
+            pulse.after(PROBE_MS, () -> questions.drop(number));
         }
     }
 
+    private long probe(final String target, final Runnable answered) {
+        probes++;
+        final Probe probe = new Probe();
+        probe.number = questions.ask(target, answered);
+        roster.send(target, probe);
+        return probe.number;
+    }
+
     private void probeNext() {
         if (roster.left()) {
             return;
@@ -71,19 +76,16 @@
         if (target == null) {
             return;
         }
-        final long number = ++probeNumber;
         final boolean[] answered = new boolean[1];
-        awaited.put(number, peer -> answered[0] = true);
-        final Probe probe = new Probe();
-        probe.number = number;
-        roster.send(target, probe);
+        final List<Long> numbers = new ArrayList<>();
+        numbers.add(probe(target, () -> answered[0] = true));
         pulse.after(PROBE_ANSWER_MS, () -> {
             if (!answered[0]) {
-                askOthers(target, number);
+                askOthers(target, () -> answered[0] = true, numbers);
             }
         });
         pulse.after(PROBE_MS - 50, () -> {
-            awaited.remove(number);
+            numbers.forEach(questions::drop);
             if (!answered[0]) {
                 roster.suspect(target);
             }
@@ -91,7 +93,7 @@
     }
 
     private String nextTarget() {
-        final boolean across = probeNumber % PROBE_ACROSS_EVERY == PROBE_ACROSS_EVERY - 1;
+        final boolean across = probes % PROBE_ACROSS_EVERY == PROBE_ACROSS_EVERY - 1;
         String target = nextOf(across ? farTurn : nearTurn, across);
         // A zone with nobody else in it looks across every time.
         return target != null ? target : nextOf(across ? nearTurn : farTurn, !across);
@@ -112,7 +114,7 @@
         return turn.poll();
     }
 
-    private void askOthers(final String target, final long number) {
+    private void askOthers(final String target, final Runnable answered, final List<Long> numbers) {
         final List<String> helpers = new ArrayList<>();
         for (final Peer peer : roster.all()) {
             if (peer.standing == Peer.UP && peer.zone.equals(roster.self().zone) && !peer.address.equals(target)) {
@@ -122,7 +124,9 @@
         Collections.shuffle(helpers, pulse.luck());
         for (int i = 0; i < Math.min(PROBE_HELPERS, helpers.size()); i++) {
             final Detour detour = new Detour();
-            detour.number = number;
+            // Each opinion is a question of its own: it counts from whom it was asked.
+            detour.number = questions.ask(helpers.get(i), answered);
+            numbers.add(detour.number);
             detour.target = target;
             roster.send(helpers.get(i), detour);
         }
--- /dev/null
+++ b/src/test/java/yewjunction/roster/LateAnswersTest.java
@@ -0,0 +1,136 @@
+package yewjunction.roster;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import yewjunction.base.Pulse;
+import yewjunction.roster.Letters.Detour;
+import yewjunction.roster.Letters.Echo;
+import yewjunction.roster.Letters.Letter;
+import yewjunction.roster.Letters.Probe;
+import yewjunction.sim.Host;
+import yewjunction.sim.Lives;
+import yewjunction.sim.World;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** A dead peer is missed, whatever answers to other questions still come in. */
+class LateAnswersTest {
+    private static final String ASKER = "a1:7", DEAD = "a2:7", OTHER = "a3:7";
+    private final List<Probe> probes = new ArrayList<>();
+    private final List<Detour> detours = new ArrayList<>();
+    private World world;
+    private Roster roster;
+
+    private static Peer peer(final String address) {
+        final Peer peer = new Peer();
+        peer.address = address;
+        peer.zone = "zone";
+        peer.duty = "vault";
+        return peer;
+    }
+
+    private static <T extends Letter> T by(final String address, final T letter) {
+        letter.self = peer(address);
+        return letter;
+    }
+
+    private static Echo echo(final String address, final long number) {
+        final Echo echo = by(address, new Echo());
+        echo.number = number;
+        return echo;
+    }
+
+    /** A life of the asker, which has just heard from the others. */
+    private void boot(final boolean drawn, final String... others) {
+        final Host host = world.host(ASKER);
+        host.boot();
+        final Pulse pulse = drawn ? host : Lives.numberedAlike(host);
+        probes.clear();
+        detours.clear();
+        roster = new Roster(pulse, peer(ASKER), (address, letter) -> {
+            if (letter instanceof Probe probe && address.equals(DEAD)) {
+                probes.add(probe);
+            } else if (letter instanceof Probe probe) {
+                world.after(5, () -> roster.take(address, echo(address, probe.number)));
+            } else if (letter instanceof Detour detour) {
+                detours.add(detour);
+            }
+        });
+        roster.start(List.of());
+        for (final String other : others) {
+            roster.take(other, by(other, new Echo()));
+        }
+    }
+
+    private boolean missed() {
+        return roster.at(DEAD) == null || !roster.at(DEAD).up();
+    }
+
+    /** The first life's probes are answered late, all of them and again and again, while the second one probes. */
+    private boolean missedInTheSecondLife(final long seed, final boolean drawn) {
+        world = new World(seed);
+        boot(drawn, DEAD);
+        world.every(1, () -> List.copyOf(probes).forEach(probe -> roster.take(DEAD, echo(DEAD, probe.number))));
+        world.runFor(20_000);
+        assertTrue(probes.size() > 15 && !missed(), probes.size() + " probes");
+        final List<Long> firstLife = probes.stream().map(probe -> probe.number).toList();
+        world.host(ASKER).kill();
+        final World second = new World(seed + 1_000);
+        world = second;
+        boot(drawn, DEAD);
+        second.every(100, () -> firstLife.forEach(number -> roster.take(DEAD, echo(DEAD, number))));
+        second.runFor(10_000);
+        return missed();
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5})
+    void answersToAnEarlierLifeHideNoLoss(final long seed) {
+        assertTrue(missedInTheSecondLife(seed, true));
+    }
+
+    /** The fault planted: numbers begin alike in each life. */
+    @Test
+    void withNumbersThatBeginAlikeTheLossIsHidden() {
+        assertFalse(missedInTheSecondLife(1, false));
+    }
+
+    /** All that the dead peer is asked another one answers in time, under that name. */
+    private boolean missedWhileAnotherAnswers(final long seed, final String name) {
+        world = new World(seed);
+        boot(true, DEAD, OTHER);
+        world.every(20, () -> {
+            probes.forEach(probe -> roster.take(OTHER, echo(name, probe.number)));
+        });
+        world.runFor(20_000);
+        return missed();
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5})
+    void anAnswerOfAnotherPeerHidesNoLoss(final long seed) {
+        assertTrue(missedWhileAnotherAnswers(seed, OTHER));
+    }
+
+    /** The fault planted: the answer is taken for the dead peer's own. */
+    @Test
+    void anAnswerThatNamesTheDeadPeerDoesHideIt() {
+        assertFalse(missedWhileAnotherAnswers(1, DEAD));
+    }
+
+    @Test
+    void aSecondOpinionCountsOnlyFromWhomItWasAsked() {
+        world = new World(7);
+        boot(true, DEAD, OTHER);
+        world.every(20, () -> detours.forEach(detour -> roster.take(OTHER, echo(OTHER, detour.number))));
+        world.runFor(15_000);
+        assertFalse(missed());
+        assertTrue(detours.size() > 3, detours.size() + " detours");
+        assertEquals(detours.size(), detours.stream().map(detour -> detour.number).distinct().count());
+    }
+}
