A lease counts as the answer to one question of this life, of whom it was asked

A lease named the moment it was asked for, and whatever letter named a moment was believed: one of an earlier life or from a crux that had not been asked would have counted. Links end with either process, so none could come; now nothing rests on that alone. A renewal carries a question's number in the place of the moment (as long on the wire), the asker keeps link and moment, and a lease counts once, on that link, from that moment.

Found on the way, and real: any lease answered for the newest question, so that a late one from the crux that was asked before hid that the present one is dark. Now whoever answers is asked again. A home matches the leader's confirmation the same way, by number and link.

--- a/src/main/java/yewjunction/base/Questions.java
+++ b/src/main/java/yewjunction/base/Questions.java
@@ -43,8 +43,8 @@
         return question.about;
     }
 
-    public boolean isOpen(final long number) {
-        return open.containsKey(number);
+    public boolean none() {
+        return open.isEmpty();
     }
 
     /** No answer to it counts any more. */
--- a/src/main/java/yewjunction/charter/Lessor.java
+++ b/src/main/java/yewjunction/charter/Lessor.java
@@ -9,6 +9,7 @@
 import yewjunction.base.Link;
 import yewjunction.base.Post;
 import yewjunction.base.Pulse;
+import yewjunction.base.Questions;
 import yewjunction.charter.Letters.Confirm;
 import yewjunction.charter.Letters.Confirmed;
 import yewjunction.charter.Letters.Lease;
@@ -30,10 +31,10 @@
     private final Wards wards;
     private final Map<Link, Told> subscribers = new LinkedHashMap<>();
     private List<Asked> waiting = new ArrayList<>();
-    private List<Asked> underWay = new ArrayList<>();
+    /** To the leader: one at a time. */
+    private final Questions<Link, List<Asked>> questions;
     private final List<Proven> proven = new ArrayList<>();
     private final Set<Link> unnamed = new HashSet<>();
-    private long number;
     private long askedMs;
     private boolean telling;
     private boolean tellingFacts;
@@ -62,9 +63,10 @@
         this.ledger = ledger;
         this.registrar = registrar;
         this.wards = wards;
+        questions = new Questions<>(pulse);
         post.on(Renew.class, this::renew);
         post.on(Confirm.class, this::confirm);
-        post.on(Confirmed.class, (link, confirmed) -> confirmed(confirmed));
+        post.on(Confirmed.class, this::confirmed);
         post.onClose(link -> {
             subscribers.remove(link);
             unnamed.remove(link);
@@ -94,7 +96,7 @@
     private void ask() {
         final long nowMs = pulse.nowMs();
         final boolean lost = nowMs - askedMs > LEASE_ANSWER_MS / 2;
-        if (waiting.isEmpty() || !underWay.isEmpty() && !lost) {
+        if (waiting.isEmpty() || !questions.none() && !lost) {
             return;
         }
         // One question serves all askers of a short while: each goes through a majority, across zones.
@@ -118,12 +120,13 @@
                 }
             });
         } else if (ledger.leader() != null && !ledger.leader().equals(ledger.identity())) {
-            underWay = waiting;
+            final Link link = post.dial(Ledger.address(ledger.leader()));
+            final Confirm confirm = new Confirm();
+            questions.dropAll();
+            confirm.number = questions.ask(link, waiting);
             waiting = new ArrayList<>();
             askedMs = nowMs;
-            final Confirm confirm = new Confirm();
-            confirm.number = ++number;
-            post.dial(Ledger.address(ledger.leader())).send(confirm);
+            link.send(confirm);
         } else {
             // Nobody leads: they wait for the next leader, since a lease counts from when it was asked for anyway.
             waiting.removeIf(asked -> !asked.link.open() || nowMs - asked.atMs > LEASE_MS);
@@ -133,7 +136,7 @@
     /** Somebody leads now: whoever waited is served at once. */
     void leaderChanged() {
         registrar.leaderChanged();
-        underWay = new ArrayList<>();
+        questions.dropAll();
         askedMs = 0;
         ask();
     }
@@ -148,12 +151,11 @@
         });
     }
 
-    private void confirmed(final Confirmed confirmed) {
-        if (confirmed.number != number) {
+    private void confirmed(final Link link, final Confirmed confirmed) {
+        final List<Asked> asked = questions.answered(confirmed.number, link);
+        if (asked == null) {
             return;
         }
-        final List<Asked> asked = underWay;
-        underWay = new ArrayList<>();
         if (confirmed.held) {
             proven.add(new Proven(confirmed.commit, asked));
             settled();
@@ -178,7 +180,7 @@
         }
         final Lease lease = news(told);
         lease.held = true;
-        lease.askedMs = asked.renew.askedMs;
+        lease.request = asked.renew.request;
         asked.link.send(lease);
     }
 
--- a/src/main/java/yewjunction/charter/Letters.java
+++ b/src/main/java/yewjunction/charter/Letters.java
@@ -16,7 +16,8 @@
 
     /** Asks a home for a lease, says what is known already, and names this process. */
     static final class Renew {
-        long askedMs;
+        /** Stands for the asker's life and the moment it asked, which it keeps for itself. */
+        long request;
         long version;
         long factsNumber;
         Who who = new Who();
@@ -53,7 +54,8 @@
     /** A lease when held is set, else only news. */
     static final class Lease {
         boolean held;
-        long askedMs;
+        /** The renewal that it answers. */
+        long request;
         long version;
         /** The configuration, when newer than what the asker has. */
         String json;
--- a/src/main/java/yewjunction/charter/Tenure.java
+++ b/src/main/java/yewjunction/charter/Tenure.java
@@ -7,6 +7,7 @@
 import yewjunction.base.Link;
 import yewjunction.base.Post;
 import yewjunction.base.Pulse;
+import yewjunction.base.Questions;
 import yewjunction.charter.Letters.Lease;
 import yewjunction.charter.Letters.Renew;
 import yewjunction.charter.Letters.Who;
@@ -31,8 +32,13 @@
     private boolean held;
     private int attempt;
     private int good;
-    private long askNumber;
-    private long answeredNumber;
+    private final Questions<Link, Asked> questions;
+    /** Nobody has answered since the newest question. */
+    private boolean silent;
+
+    /** When a lease was asked for, and at which turn through the homes. */
+    private record Asked(long atMs, int attempt) {
+    }
 
     /** Told of what changed. */
     public interface Watcher {
@@ -47,6 +53,7 @@
         this.post = post;
         this.homes = homes;
         this.watcher = watcher;
+        questions = new Questions<>(pulse);
         post.on(Lease.class, this::leased);
     }
 
@@ -106,7 +113,7 @@
 
     private void renew() {
         final List<String> known = homes.get();
-        final boolean silent = answeredNumber < askNumber;
+        final long pauseMs = known.isEmpty() || silent ? LEASE_ANSWER_MS / 2 : LEASE_PACE_MS;
         if (silent) {
             // The home did not answer: it may be dark, so the next nearest is asked.
             attempt++;
@@ -115,20 +122,23 @@
             attempt = 0;
         }
         if (!known.isEmpty()) {
-            askNumber++;
             report.run();
             who.held = held();
             final Runtime runtime = Runtime.getRuntime();
             who.memoryPct = (int) (100 * (runtime.totalMemory() - runtime.freeMemory()) / runtime.maxMemory());
             final Renew renew = new Renew();
-            renew.askedMs = pulse.nowMs();
             renew.version = version();
             renew.factsNumber = facts.number;
             renew.who = who;
             final Link link = post.dial(known.get(attempt % known.size()));
+            final long nowMs = pulse.nowMs();
+            // Whose lease would have ended by now.
+            questions.drop(asked -> nowMs - asked.atMs >= LEASE_MS);
+            renew.request = questions.ask(link, new Asked(nowMs, attempt));
+            silent = true;
             link.send(renew);
         }
-        pulse.after(charter == null ? LEASE_FIRST_MS : known.isEmpty() || silent ? LEASE_ANSWER_MS / 2 : LEASE_PACE_MS, this::renew);
+        pulse.after(charter == null ? LEASE_FIRST_MS : pauseMs, this::renew);
         if (held && !held()) {
             held = false;
             Event.LEASE_LAPSED.warn("version " + version());
@@ -156,9 +166,12 @@
             watcher.configChanged(charter);
         }
         // The lease counts only with the version it stands for.
-        if (lease.held && lease.version <= version()) {
-            answeredNumber = askNumber;
-            leaseEndMs = Math.max(leaseEndMs, lease.askedMs + LEASE_MS);
+        final Asked asked = lease.held && lease.version <= version() ? questions.answered(lease.request, link) : null;
+        if (asked != null) {
+            silent = false;
+            // Whoever answers is asked again, though another was asked meanwhile: that one is yet to be heard.
+            attempt = asked.attempt;
+            leaseEndMs = Math.max(leaseEndMs, asked.atMs + LEASE_MS);
             if (!held && held()) {
                 held = true;
                 Event.LEASE_HELD.info("version " + version());
