Each offer to a vault is a question of its own; numbers begin by the life's own draw

A message kept one number for all its offers, and a denial counted if it came on the link of the newest one. Offered to one leader, then to another, then to the first again, the first one's late denial on the link that they share was told as RETRY though the other may have accepted it: a message delivered after that promise. Verdicts are matched by Questions now; a denial, or word that a vault doesn't lead, counts only for the newest offer, an acceptance for any. The number takes five bytes where it took one to three.

--- a/src/main/java/yewjunction/base/ControlLimits.java
+++ b/src/main/java/yewjunction/base/ControlLimits.java
@@ -42,7 +42,7 @@
     public static final int IMAGE_MOST_BYTES = 64 << 20;
     // --- questions ---
     /**
-     * bits; a life's first question number is drawn from so many: one in 17 billion that a given late answer of another life
+     * bits; a life's first question number is one of so many: one in 17 billion that a given late answer of another life
      * meets a given open question, and five bytes on the wire, as many as a number just above 28 bits takes.
      */
     public static final int QUESTION_BITS = 34;
--- a/src/main/java/yewjunction/base/Questions.java
+++ b/src/main/java/yewjunction/base/Questions.java
@@ -10,7 +10,7 @@
 
 /**
  * Questions that one life of a process has asked and that are open, each by its number, with whom it was asked of. An answer
- * counts once, and only from that one. Numbers go on from a start drawn with each life, so that an answer to an earlier life
+ * counts once, and only from that one. Numbers go on from a start that the life makes, so that an answer to an earlier life
  * meets none: the number alone says whose question it was, and the letters need no further field.
  *
  * @param <P> who is asked: a link, which ends with either process, or the address where datagrams leave nothing better
@@ -23,8 +23,13 @@
     private record Question<P, T>(P peer, T about) {
     }
 
-    public Questions(final Pulse pulse) {
-        newest = pulse.luck().nextLong() >>> Long.SIZE - QUESTION_BITS;
+    /** Life: what the process drew for itself at its start. */
+    public Questions(final long life) {
+        // Mixed as SplitMix64 does, so that lives near one another begin far apart.
+        long mixed = life * 0x9e3779b97f4a7c15L;
+        mixed = (mixed ^ mixed >>> 30) * 0xbf58476d1ce4e5b9L;
+        mixed = (mixed ^ mixed >>> 27) * 0x94d049bb133111ebL;
+        newest = (mixed ^ mixed >>> 31) >>> Long.SIZE - QUESTION_BITS;
     }
 
     /** The number that the answer is to repeat. */
--- a/src/main/java/yewjunction/charter/Crux.java
+++ b/src/main/java/yewjunction/charter/Crux.java
@@ -37,7 +37,7 @@
         ledger.electorate().seat(new Seating(settings.votersNeeded(), Set::of, roster::zoneAt));
         final Registrar registrar = new Registrar(pulse, post, core, ledger, roster, settings.votersNeeded());
         final Wards wards = new Wards(pulse);
-        lessor = new Lessor(pulse, post, core, ledger, registrar, wards);
+        lessor = new Lessor(pulse, post, core, ledger, registrar, wards, roster.self().life);
         desk = new Desk(pulse, core, ledger, registrar, new Outlook(core, ledger, roster, registrar, wards));
     }
 
--- a/src/main/java/yewjunction/charter/Lessor.java
+++ b/src/main/java/yewjunction/charter/Lessor.java
@@ -56,14 +56,14 @@
     }
 
     Lessor(final Pulse pulse, final Post post, final Core core, final Ledger ledger, final Registrar registrar,
-            final Wards wards) {
+            final Wards wards, final long life) {
         this.pulse = pulse;
         this.post = post;
         this.core = core;
         this.ledger = ledger;
         this.registrar = registrar;
         this.wards = wards;
-        questions = new Questions<>(pulse);
+        questions = new Questions<>(life);
         post.on(Renew.class, this::renew);
         post.on(Confirm.class, this::confirm);
         post.on(Confirmed.class, this::confirmed);
--- a/src/main/java/yewjunction/charter/Tenure.java
+++ b/src/main/java/yewjunction/charter/Tenure.java
@@ -32,7 +32,7 @@
     private boolean held;
     private int attempt;
     private int good;
-    private final Questions<Link, Asked> questions;
+    private Questions<Link, Asked> questions;
     /** Nobody has answered since the newest question. */
     private boolean silent;
 
@@ -53,7 +53,6 @@
         this.post = post;
         this.homes = homes;
         this.watcher = watcher;
-        questions = new Questions<>(pulse);
         post.on(Lease.class, this::leased);
     }
 
@@ -63,9 +62,15 @@
         who.zone = zone;
         who.duty = duty;
         who.life = life;
+        questions = new Questions<>(life);
         return this;
     }
 
+    /** Drawn at this process's start. */
+    public long life() {
+        return who.life;
+    }
+
     /** A vault's ledger identity. */
     public void identity(final String identity) {
         who.identity = identity;
--- a/src/main/java/yewjunction/dock/Dock.java
+++ b/src/main/java/yewjunction/dock/Dock.java
@@ -46,7 +46,7 @@
         this.tenure = tenure;
         this.weave = weave;
         requests = new Requests(this, tenure, weave);
-        shipping = new Shipping(pulse, post);
+        shipping = new Shipping(pulse, post, tenure.life());
         absentees = new Absentees(weave);
         boarding = new Boarding(this, pulse, weave);
         silentMs = (long) (pingS * 1_000 * SILENT_PINGS);
--- a/src/main/java/yewjunction/dock/Intake.java
+++ b/src/main/java/yewjunction/dock/Intake.java
@@ -1,9 +1,12 @@
 package yewjunction.dock;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import yewjunction.base.Link;
+import yewjunction.base.Questions;
 import yewjunction.charter.Charter.Space;
 import yewjunction.vault.Message;
 
@@ -27,8 +30,8 @@
         final long timeoutMs;
         /** On its way to a leader right now. */
         boolean offered;
-        /** Where it was offered last: only there is a denial remembered. */
-        Link link;
+        /** Each offer is a question of its own: only the newest one's denial binds, for another leader may have been asked since. */
+        final List<Long> offers = new ArrayList<>(1);
         /** Left this edge, or may have left another, at least once: then only the leader may promise that it was not accepted. */
         boolean sent;
 
@@ -45,6 +48,19 @@
             this.space = space;
             timeoutMs = space.timeoutMs();
         }
+
+        /** Goes to a leader; the number that its verdict is to repeat. */
+        long offer(final Questions<Link, Parcel> questions, final Link link) {
+            offered = true;
+            sent = true;
+            final long number = questions.ask(link, this);
+            offers.add(number);
+            return number;
+        }
+
+        boolean newestOffer(final long offer) {
+            return !offers.isEmpty() && offers.get(offers.size() - 1) == offer;
+        }
     }
 
     /** False when there is no room. */
--- a/src/main/java/yewjunction/dock/Shipping.java
+++ b/src/main/java/yewjunction/dock/Shipping.java
@@ -7,6 +7,7 @@
 import yewjunction.base.Link;
 import yewjunction.base.Post;
 import yewjunction.base.Pulse;
+import yewjunction.base.Questions;
 import yewjunction.charter.Charter.Space;
 import yewjunction.dock.Intake.Parcel;
 import yewjunction.vault.Letters;
@@ -31,6 +32,7 @@
     private final Intake intake = new Intake();
     private final Pipeline pipeline = new Pipeline();
     private final Map<Long, Parcel> parcels = new LinkedHashMap<>();
+    private final Questions<Link, Parcel> offers;
     private Link leaderLink;
     private String leader = "";
     private long requests;
@@ -42,9 +44,10 @@
     private long unansweredMs;
     private boolean dark;
 
-    Shipping(final Pulse pulse, final Post post) {
+    Shipping(final Pulse pulse, final Post post, final long life) {
         this.pulse = pulse;
         this.post = post;
+        offers = new Questions<>(life);
         post.on(Verdict.class, this::verdict);
         post.onClose(link -> {
             if (link == leaderLink) {
@@ -94,12 +97,9 @@
             }
             final Parcel parcel = intake.next();
             final Admit admit = new Admit();
-            admit.request = parcel.request;
+            admit.request = parcel.offer(offers, leaderLink);
             admit.message = parcel.message;
             admit.revoked = parcel.revoked ? true : null;
-            parcel.offered = true;
-            parcel.link = leaderLink;
-            parcel.sent = true;
             offered++;
             if (!leaderLink.send(admit)) {
                 takeBack();
@@ -153,6 +153,11 @@
     }
 
     private void verdict(final Link link, final Verdict verdict) {
+        final Parcel parcel = offers.answered(verdict.request, link);
+        // Bad news on an earlier offer binds nobody once another leader, or the same one anew, has been asked.
+        if (parcel == null || verdict.what != Letters.ACCEPTED && !parcel.newestOffer(verdict.request)) {
+            return;
+        }
         if (verdict.what == Letters.ELSEWHERE) {
             // Not leading, or not yet: the first word says it all.
             if (link == leaderLink && offered > 0) {
@@ -161,11 +166,6 @@
             }
             return;
         }
-        final Parcel parcel = parcels.get(verdict.request);
-        // A denial that comes late from a former leader binds nobody once another one has been asked.
-        if (parcel == null || verdict.what == Letters.DENIED && parcel.link != link) {
-            return;
-        }
         parcels.remove(parcel.request);
         settled(parcel);
         pauseMs = OFFER_FIRST_MS;
@@ -180,6 +180,7 @@
     }
 
     private void settled(final Parcel parcel) {
+        parcel.offers.forEach(offers::drop);
         parcel.berth.underWay--;
         pipeline.drop(parcel);
         if (parcel.offered) {
--- a/src/main/java/yewjunction/roster/Prober.java
+++ b/src/main/java/yewjunction/roster/Prober.java
@@ -30,7 +30,7 @@
     Prober(final Pulse pulse, final Roster roster) {
         this.pulse = pulse;
         this.roster = roster;
-        questions = new Questions<>(pulse);
+        questions = new Questions<>(roster.self().life);
     }
 
     void start() {
--- /dev/null
+++ b/src/test/java/yewjunction/dock/VerdictsTest.java
@@ -0,0 +1,146 @@
+package yewjunction.dock;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import yewjunction.charter.Charter.Space;
+import yewjunction.loom.Line;
+import yewjunction.loom.Outbox;
+import yewjunction.sim.Dialling;
+import yewjunction.sim.Host;
+import yewjunction.sim.World;
+import yewjunction.vault.Letters.Admit;
+import yewjunction.vault.Letters.Verdict;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static yewjunction.vault.Letters.ACCEPTED;
+import static yewjunction.vault.Letters.DENIED;
+import static yewjunction.vault.Letters.ELSEWHERE;
+
+/** RETRY is said only on a denial of the newest offer; whatever was said of earlier ones may be overtaken. */
+class VerdictsTest {
+    private static final Space SPACE = new Space("orders", "", "s.", 1_500, 35_000, true, Set.of());
+    private static final String RETRIED = "REFUSE PUB s.x 5 RETRY\r\n", ACKED = "ACK s.x 5\r\n";
+    private final Outbox told = new Outbox(64);
+    private Dialling links;
+    private Shipping shipping;
+    private World world;
+    private long lives;
+
+    private final class Written implements Line {
+        @Override
+        public Outbox out() {
+            return told;
+        }
+
+        @Override
+        public int waiting() {
+            return 0;
+        }
+
+        @Override
+        public void closeSoon() {
+            throw new IllegalStateException("closed");
+        }
+
+        @Override
+        public void close() {
+            throw new IllegalStateException("closed");
+        }
+
+        @Override
+        public boolean open() {
+            return true;
+        }
+    }
+
+    /** A life of an edge that has a message of a client on its way to the first leader. */
+    private Admit begin(final boolean drawn) {
+        links = new Dialling();
+        world = new World(1);
+        final Host host = world.host("edge:1");
+        host.boot();
+        shipping = new Shipping(host, links, drawn ? ++lives : 1);
+        shipping.leaderIs("one:1");
+        final Berth berth = new Berth(null, new Written(), 0);
+        berth.client = "c";
+        shipping.ship(berth, "s.x", 5, true, "", SPACE, new byte[0]);
+        return links.dial("one:1").newest();
+    }
+
+    private String afterVerdict(final String from, final Admit on, final int what) {
+        final Verdict verdict = new Verdict();
+        verdict.request = on.request;
+        verdict.what = what;
+        links.answer(from, verdict);
+        return new String(told.take(), StandardCharsets.US_ASCII);
+    }
+
+    /** Denied by the first leader, accepted, perhaps, by the second, and now the first one leads again. */
+    private Admit offeredThrice() {
+        shipping.leaderIs("two:1");
+        assertEquals(1, links.dial("two:1").size());
+        shipping.leaderIs("one:1");
+        assertEquals(2, links.dial("one:1").size());
+        return links.dial("one:1").newest();
+    }
+
+    @Test
+    void aDenialOfAnEarlierOfferOnTheSameLinkBindsNobody() {
+        final Admit first = begin(true);
+        final Admit third = offeredThrice();
+        assertEquals("", afterVerdict("one:1", first, DENIED));
+        assertEquals(ACKED, afterVerdict("one:1", third, ACCEPTED));
+    }
+
+    /** The fault planted: the late denial bears the newest offer's number, as when a message's number served for all its offers. */
+    @Test
+    void withOneNumberForAllOffersTheLateDenialIsTold() {
+        begin(true);
+        assertEquals(RETRIED, afterVerdict("one:1", offeredThrice(), DENIED));
+    }
+
+    @Test
+    void anAcceptanceOfAnEarlierOfferIsAFact() {
+        final Admit first = begin(true);
+        final Admit third = offeredThrice();
+        assertEquals(ACKED, afterVerdict("one:1", first, ACCEPTED));
+        assertEquals("", afterVerdict("one:1", third, ACCEPTED), "told once");
+    }
+
+    @Test
+    void anotherVaultsVerdictIsNone() {
+        final Admit first = begin(true);
+        assertEquals("", afterVerdict("two:1", first, DENIED));
+        assertEquals("", afterVerdict("two:1", first, ACCEPTED));
+        assertEquals(RETRIED, afterVerdict("one:1", first, DENIED));
+    }
+
+    @Test
+    void thatAnEarlierOfferWentToNoLeaderTakesNothingBack() {
+        final Admit first = begin(true);
+        offeredThrice();
+        assertEquals("", afterVerdict("one:1", first, ELSEWHERE));
+        // Taken back it would be offered again after a pause.
+        world.runFor(2_000);
+        assertEquals(2, links.dial("one:1").size());
+        assertEquals(1, shipping.depth());
+    }
+
+    private String afterVerdictOnAnEarlierLife(final boolean drawn) {
+        final Admit earlier = begin(drawn);
+        begin(drawn);
+        return afterVerdict("one:1", earlier, DENIED);
+    }
+
+    @Test
+    void aVerdictOnAnEarlierLifesOfferIsNone() {
+        assertEquals("", afterVerdictOnAnEarlierLife(true));
+    }
+
+    /** The fault planted: each life draws the same, and so numbers alike. */
+    @Test
+    void withNumbersThatBeginAlikeItIsTold() {
+        assertEquals(RETRIED, afterVerdictOnAnEarlierLife(false));
+    }
+}
--- a/src/test/java/yewjunction/roster/LateAnswersTest.java
+++ b/src/test/java/yewjunction/roster/LateAnswersTest.java
@@ -5,13 +5,11 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import yewjunction.base.Pulse;
 import yewjunction.roster.Letters.Detour;
 import yewjunction.roster.Letters.Echo;
 import yewjunction.roster.Letters.Letter;
 import yewjunction.roster.Letters.Probe;
 import yewjunction.sim.Host;
-import yewjunction.sim.Lives;
 import yewjunction.sim.World;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -25,9 +23,11 @@
     private final List<Detour> detours = new ArrayList<>();
     private World world;
     private Roster roster;
+    private long lives;
 
     private static Peer peer(final String address) {
         final Peer peer = new Peer();
+        peer.life = 1;
         peer.address = address;
         peer.zone = "zone";
         peer.duty = "vault";
@@ -49,10 +49,11 @@
     private void boot(final boolean drawn, final String... others) {
         final Host host = world.host(ASKER);
         host.boot();
-        final Pulse pulse = drawn ? host : Lives.numberedAlike(host);
+        final Peer self = peer(ASKER);
+        self.life = drawn ? ++lives : 1;
         probes.clear();
         detours.clear();
-        roster = new Roster(pulse, peer(ASKER), (address, letter) -> {
+        roster = new Roster(host, self, (address, letter) -> {
             if (letter instanceof Probe probe && address.equals(DEAD)) {
                 probes.add(probe);
             } else if (letter instanceof Probe probe) {
@@ -94,7 +95,7 @@
         assertTrue(missedInTheSecondLife(seed, true));
     }
 
-    /** The fault planted: numbers begin alike in each life. */
+    /** The fault planted: each life draws the same, and so numbers alike. */
     @Test
     void withNumbersThatBeginAlikeTheLossIsHidden() {
         assertFalse(missedInTheSecondLife(1, false));
--- /dev/null
+++ b/src/test/java/yewjunction/sim/Dialling.java
@@ -0,0 +1,74 @@
+package yewjunction.sim;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import yewjunction.base.Link;
+import yewjunction.base.Post;
+
+/** Links that keep what is sent on them; the test itself answers, in any order and from anyone. */
+public final class Dialling implements Post {
+    private final Map<String, Asked> links = new HashMap<>();
+    private final Map<Class<?>, BiConsumer<Link, Object>> handlers = new HashMap<>();
+
+    /** A link, with what was sent on it. */
+    public static final class Asked implements Link {
+        private final String remote;
+        private final List<Object> letters = new ArrayList<>();
+
+        Asked(final String remote) {
+            this.remote = remote;
+        }
+
+        public int size() {
+            return letters.size();
+        }
+
+        @SuppressWarnings("unchecked")
+        public <T> T newest() {
+            return (T) letters.get(letters.size() - 1);
+        }
+
+        @Override
+        public boolean send(final Object letter) {
+            return letters.add(letter);
+        }
+
+        @Override
+        public void close() {
+            throw new IllegalStateException("closed: " + remote);
+        }
+
+        @Override
+        public boolean open() {
+            return true;
+        }
+
+        @Override
+        public String remote() {
+            return remote;
+        }
+    }
+
+    @Override
+    public Asked dial(final String address) {
+        return links.computeIfAbsent(address, Asked::new);
+    }
+
+    @Override
+    public <T> void on(final Class<T> kind, final BiConsumer<Link, T> handler) {
+        handlers.put(kind, (link, letter) -> handler.accept(link, kind.cast(letter)));
+    }
+
+    @Override
+    public void onClose(final Consumer<Link> handler) {
+        // These links stay open.
+    }
+
+    public void answer(final String from, final Object letter) {
+        handlers.get(letter.getClass()).accept(dial(from), letter);
+    }
+}
