A round of the ledger is repeated only in the term in which it was asked

An answer bears the term of who answers, and an append of an earlier term was refused with its round under the newer one. A leader that had led before took it for an answer of this leadership. Harmless while rounds rise through the whole life of a process, as they do, and answers go back on the asker's link, which ends with it; now the pair of term and round says it alone, and a term has one leader in one life of it, so that no life need be written into the letters between zones.

RoundsTest: 13 run, 6 failed on the code before (a round of 11 repeated in a later term), 0 failed now; one plants the fault.

--- a/src/main/java/yewjunction/ledger/Following.java
+++ b/src/main/java/yewjunction/ledger/Following.java
@@ -141,7 +141,8 @@
         final AppendAnswer answer = ledger.addressed(new AppendAnswer(), append.from);
         answer.accepted = accepted;
         answer.match = match;
-        answer.round = append.round;
+        // The answer bears this member's term: a round counts in it only if it was asked in it.
+        answer.round = append.term == answer.term ? append.round : 0;
         ledger.introductions.send(link, answer);
     }
 
