Seats: the new voter comes before the old one goes, also where that one is silent

Cause: a silent voter was voted out first. If another voter died without its disk at that moment, the change could neither be committed nor undone, and the silent one, back with everything, could elect nobody: the group stood for ever (found by the model check; at most one machine was gone for good). Two retirements at once were taken out by one change of two voters. Also: who asked whether a member still leads was told no while its role still said that it leads. The role ends before the answers.

--- a/src/main/java/yewjunction/ledger/Electorate.java
+++ b/src/main/java/yewjunction/ledger/Electorate.java
@@ -62,9 +62,9 @@
     }
 
     /**
-     * Fills the seats. A newcomer at a voter's address means that the voter's disk is gone; a voter that is silent, or
-     * whose disk no longer takes what others have taken, loses its seat to a newcomer that does better. First the old
-     * goes, then the new comes: two changes of one voter each.
+     * Fills the seats, by changes of one voter each. A newcomer at a voter's address means that the voter's disk is gone; a
+     * voter that is silent, that ends, or whose disk no longer takes what others have taken, loses its seat to a newcomer
+     * that does better. First the new one comes, then the old one goes: whoever was only away for a while counts until then.
      */
     void settle() {
         if (!ledger.leads() || handing || changing()) {
@@ -75,29 +75,54 @@
         leading.standings.entrySet().removeIf(one -> !voters.contains(one.getKey())
             && nowMs - one.getValue().heardMs > 20 * ELECT_MOST_MS);
         leading.standings.forEach((identity, standing) -> standing.keepUp(ledger.commit(), nowMs));
-        final String newcomer = newcomer(voters, nowMs);
-        final List<String> staying = voters.stream().filter(voter -> !leaves(voter)).toList();
-        if (staying.size() < voters.size() && staying.size() >= seating.seats()
-            && staying.stream().allMatch(voter -> voter.equals(ledger.identity()) || nearEnd(voter))) {
-            // The newcomer came first, then the old one goes; a leader that is to go hands over before.
-            if (leaves(ledger.identity())) {
-                handOver(() -> { });
-            } else {
-                change(staying);
-            }
-            return;
-        }
-        if (newcomer == null) {
+        final List<String> newVoters = new ArrayList<>(voters);
+        final String surplus = surplus(voters, nowMs);
+        if (ledger.identity().equals(surplus)) {
+            // A leader that is to go hands over before.
+            handOver(() -> { });
             return;
         }
-        final String lost = lost(voters, Ledger.address(newcomer), nowMs);
-        final List<String> newVoters = new ArrayList<>(voters);
-        if (lost != null) {
-            newVoters.remove(lost);
-        } else if (staying.size() < seating.seats()) {
+        final String newcomer = surplus == null ? newcomer(voters, nowMs) : null;
+        if (surplus != null) {
+            newVoters.remove(surplus);
+        } else if (newcomer != null && (voters.size() < seating.seats() || voters.stream().anyMatch(voter ->
+                Ledger.address(voter).equals(Ledger.address(newcomer)) || weak(voter, nowMs)))) {
             newVoters.add(newcomer);
         }
-        change(newVoters);
+        // A change that a majority of the new voters cannot take would hold up all others, and may never be undone.
+        if (newVoters.stream().filter(voter -> answers(voter, nowMs)).count() * 2 > newVoters.size()) {
+            change(newVoters);
+        }
+    }
+
+    private boolean answers(final String voter, final long nowMs) {
+        return voter.equals(ledger.identity()) || nearEnd(voter) && nowMs - leading.standing(voter).heardMs <= APPEND_AGAIN_MS;
+    }
+
+    /** A voter that does not do what it sits there for. */
+    private boolean weak(final String voter, final long nowMs) {
+        final Standing standing = leading.standing(voter);
+        return leaves(voter) || !voter.equals(ledger.identity())
+            && (nowMs - standing.heardMs > VOTER_SILENT_MS || standing.lags(nowMs));
+    }
+
+    /** The voter that goes since its successor has come; null when none has to. */
+    private String surplus(final List<String> voters, final long nowMs) {
+        for (final String voter : voters) {
+            // Its disk is gone: another member of the same address has its vote.
+            if (!voter.equals(ledger.identity()) && !answers(voter, nowMs) && voters.stream().anyMatch(other ->
+                    !other.equals(voter) && Ledger.address(other).equals(Ledger.address(voter)))) {
+                return voter;
+            }
+        }
+        if (voters.size() <= seating.seats()) {
+            return null;
+        }
+        // The last to come is the first to go where all are well again: whoever was away is back.
+        return voters.stream().filter(this::leaves).findFirst()
+            .or(() -> voters.stream().filter(voter -> weak(voter, nowMs)).findFirst())
+            .or(() -> voters.stream().filter(voter -> !voter.equals(ledger.identity())).reduce((one, other) -> other))
+            .orElse(null);
     }
 
     /** Its machine is to be emptied, or its process said a moment ago that it ends. */
@@ -163,22 +188,6 @@
         return voters.stream().filter(voter -> seating.zoneOf().apply(Ledger.address(voter)).equals(zone)).count();
     }
 
-    /** The voter that goes for a newcomer, null when none has to. */
-    private String lost(final List<String> voters, final String newAddress, final long nowMs) {
-        String silent = null;
-        for (final String voter : voters) {
-            if (Ledger.address(voter).equals(newAddress)) {
-                return voter;
-            }
-            final Standing standing = leading.standing(voter);
-            if (!voter.equals(ledger.identity()) && voters.size() >= seating.seats()
-                && (nowMs - standing.heardMs > VOTER_SILENT_MS || standing.lags(nowMs))) {
-                silent = voter;
-            }
-        }
-        return silent;
-    }
-
     public void handOver(final Runnable done) {
         if (!ledger.leadsTerm() || ledger.voters().size() == 1) {
             done.run();
--- a/src/main/java/yewjunction/ledger/Ledger.java
+++ b/src/main/java/yewjunction/ledger/Ledger.java
@@ -182,7 +182,6 @@
         return role == Role.LEADS || leaderIdentity != null && pulse.nowMs() - heardMs < ELECT_LEAST_MS;
     }
 
-    /** Remembers on which link the leader speaks. */
     void heardOn(final Link link) {
         leaderLink = link;
     }
@@ -216,11 +215,13 @@
     }
 
     void follow(final String newLeader) {
-        if (role == Role.LEADS) {
+        final boolean led = role == Role.LEADS;
+        role = Role.FOLLOWS;
+        if (led) {
+            // Whoever is told no here must not find a leader any more: it would propose in a term that is another's.
             Event.LEADER_LOST.info("group " + group + " term " + archive.term);
             leading.end();
         }
-        role = Role.FOLLOWS;
         election.over();
         if (newLeader == null) {
             lostLeader();
