Desk: the entry and its patch are worked out beside the owner's thread, too

The base's text cannot change, so it may be worked out while others are served; the order is then looked at anew, since another leader may have gone on. Work that comes back undone, or for which there is no thread, ends that call alone with 503.

--- a/src/main/java/yewjunction/charter/Core.java
+++ b/src/main/java/yewjunction/charter/Core.java
@@ -70,6 +70,18 @@
         return current;
     }
 
+    /** The configuration where it was read already, else null. */
+    Charter parsed() {
+        return current;
+    }
+
+    /** Whoever made the newest version has it read already. */
+    void adopt(final Charter made) {
+        if (made.version() == image.version) {
+            current = made;
+        }
+    }
+
     /** What changed lately, for those that know what was before. */
     News news() {
         return news;
--- a/src/main/java/yewjunction/charter/Desk.java
+++ b/src/main/java/yewjunction/charter/Desk.java
@@ -1,6 +1,5 @@
 package yewjunction.charter;
 
-import com.typesafe.config.ConfigException;
 import com.typesafe.config.ConfigRenderOptions;
 import com.typesafe.config.ConfigValueFactory;
 import java.util.LinkedHashMap;
@@ -171,20 +170,13 @@
             order.release();
             return Verdict.fact(Answer.deny(412, CONFIG_VERSION.name(), "version " + core.version() + " is current"));
         }
-        try {
-            final Charter next = order.on(core.current());
-            final Deed deed = new Deed(Deed.CONFIG);
-            deed.base = order.base;
-            deed.digest = order.digest();
-            deed.json = next.json();
-            deed.version = next.version();
-            Patches.add(deed, core.current(), next);
-            return Verdict.agree(deed, taken);
-        } catch (final Defect defect) {
-            return Verdict.lasting(invalid(defect));
-        } catch (final ConfigException defect) {
-            return Verdict.lasting(Answer.deny(400, CONFIG_FIELD.name(), defect.getMessage()));
+        if (!order.prepared()) {
+            final Charter current = core.parsed();
+            final String json = core.json();
+            return Verdict.beside(() -> order.prepare(current != null || json == null ? current : Charter.read(json)));
         }
+        // Looked at anew after that: another leader may have gone on meanwhile, and what builds on an old base must not be proposed.
+        return Verdict.agree(order.deed(), taken, () -> core.adopt(order.next()));
     }
 
     private Verdict retire(final String node) {
@@ -199,7 +191,7 @@
             return registrar.settled() ? Verdict.fact(Answer.deny(409, "TOO_FEW", "too few store machines would be left"))
                 : Verdict.lasting(unheard());
         }
-        return Verdict.agree(registrar.retirement(node), Answer.of(200, "{}"));
+        return Verdict.agree(registrar.retirement(node), Answer.of(200, "{}"), () -> { });
     }
 
     private static Answer nodeUnknown(final String node) {
--- a/src/main/java/yewjunction/charter/Order.java
+++ b/src/main/java/yewjunction/charter/Order.java
@@ -28,6 +28,9 @@
     private Charter replacement;
     /** Why it can be valid on no base at all, null where it can. */
     private Defect defect;
+    private boolean prepared;
+    private Deed deed;
+    private Charter next;
 
     Order(final String shape, final String base, final byte[] body) {
         this.shape = shape;
@@ -66,6 +69,9 @@
     void release() {
         sent = null;
         replacement = null;
+        prepared = false;
+        deed = null;
+        next = null;
     }
 
     long version() {
@@ -94,11 +100,32 @@
         return defect;
     }
 
-    /** What it makes of its base. The base's text never changes, so neither does this, nor a defect found here. */
-    Charter on(final Charter current) {
+    /**
+     * What is to be agreed on, worked out on a base that is current, beside the owner's thread: a base's text never
+     * changes, so neither does this, nor a defect found here.
+     */
+    void prepare(final Charter current) {
+        prepared = true;
         if (sent == null) {
             read();
         }
+        try {
+            next = on(current);
+            final Deed made = new Deed(Deed.CONFIG);
+            made.base = base;
+            made.digest = digest;
+            made.json = next.json();
+            made.version = next.version();
+            Patches.add(made, current, next);
+            deed = made;
+        } catch (final Defect found) {
+            defect = found;
+        } catch (final ConfigException found) {
+            defect = new Defect(CONFIG_FIELD, found.getMessage(), found);
+        }
+    }
+
+    private Charter on(final Charter current) {
         if (!rises()) {
             throw new Defect(CONFIG_VERSION, "Ver: must be above " + base);
         }
@@ -108,6 +135,20 @@
         return replacement != null ? replacement : Charter.of(current.updated(sent));
     }
 
+    boolean prepared() {
+        return prepared;
+    }
+
+    /** Null until it is prepared, or where it has a defect. */
+    Deed deed() {
+        return deed;
+    }
+
+    /** What its base becomes by it. */
+    Charter next() {
+        return next;
+    }
+
     private static String digest(final String text) {
         try {
             return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(text.getBytes(StandardCharsets.UTF_8)));
--- a/src/main/java/yewjunction/charter/Turns.java
+++ b/src/main/java/yewjunction/charter/Turns.java
@@ -68,17 +68,28 @@
             return true;
         }
         if (turn.confirmed || turn.reading == null) {
-            return looked(turn);
+            return looked(turn, false);
+        }
+        return beside(turn, turn.reading, false);
+    }
+
+    /** Works beside the owner's thread, then looks: nobody else's turn comes meanwhile. */
+    private boolean beside(final Turn turn, final Runnable work, final boolean worked) {
+        try {
+            reader.work(work, () -> {
+                if (looked(turn, worked)) {
+                    next();
+                }
+            });
+            return false;
+        } catch (final OutOfMemoryError defect) {
+            // No thread to be had: said so, and the others have their turns.
+            turn.answer.accept(Desk.Answer.unclear("no memory to read this"));
+            return true;
         }
-        reader.work(turn.reading, () -> {
-            if (looked(turn)) {
-                next();
-            }
-        });
-        return false;
     }
 
-    private boolean looked(final Turn turn) {
+    private boolean looked(final Turn turn, final boolean worked) {
         // Its reading took a while: what is taken now its repeat will know, but only a leader takes it.
         if (!ledger.leads()) {
             turn.answer.accept(elsewhere.get());
@@ -87,12 +98,18 @@
         final Verdict verdict;
         try {
             verdict = turn.look.get();
+            if (worked && verdict.beside() != null) {
+                throw new IllegalStateException("worked out, and still open");
+            }
         } catch (final RuntimeException defect) {
             // One call that cannot be worked out must not hold up all behind it for good.
             Event.TURN_DEFECT.warn("an operator's call", defect);
             turn.answer.accept(Desk.Answer.unclear("this could not be worked out"));
             return true;
         }
+        if (verdict.beside() != null && !worked) {
+            return beside(turn, verdict.beside(), true);
+        }
         if (verdict.deed() != null) {
             return !proposed(turn, verdict);
         }
@@ -107,6 +124,9 @@
 
     private boolean proposed(final Turn turn, final Verdict verdict) {
         final boolean proposed = ledger.propose(Core.bytes(verdict.deed()), done -> {
+            if (done) {
+                verdict.done().run();
+            }
             // Not done is not refused: the next leader may hold it, and its repeat finds out.
             turn.answer.accept(done ? verdict.answer() : Desk.Answer.unclear("the leader changed, ask again"));
             next();
--- a/src/test/java/yewjunction/system/DeskSimTest.java
+++ b/src/test/java/yewjunction/system/DeskSimTest.java
@@ -7,6 +7,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import yewjunction.charter.Desk;
+import yewjunction.node.CruxNode;
 import yewjunction.system.Orders.Call;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -213,6 +215,20 @@
         assertEquals(current == 2 ? 200 : 412, repeated);
     }
 
+    /** The planted fault: whoever reads beside the owner comes back without having done it. */
+    @Test
+    void whatWasNotWorkedOutIsNeitherTakenNorInTheWay() {
+        begin(11);
+        final Desk desk = ((CruxNode) town.nodes.get(orders.leader())).desk();
+        desk.readBy((blocking, afterwards) -> afterwards.run());
+        assertEquals(503, orders.now(orders.leader(), "POST", REPLACE, "1", config(2, "b.")).status());
+        desk.readBy((blocking, afterwards) -> { throw new OutOfMemoryError("planted"); });
+        assertEquals(503, orders.now(orders.leader(), "POST", REPLACE, "1", config(2, "b.")).status());
+        desk.readBy(town.world.host(orders.leader()).clerk());
+        assertEquals(1, orders.shown());
+        assertEquals(200, orders.now(orders.leader(), "POST", REPLACE, "1", config(2, "b.")).status());
+    }
+
     private void isFound(final Function<Town, Operators.Gate> fault, final LongConsumer test) {
         plant = fault;
         assertThrows(AssertionError.class, () -> {
