--- a/src/main/java/yewjunction/ledger/Archive.java
+++ b/src/main/java/yewjunction/ledger/Archive.java
@@ -19,8 +19,9 @@
     long term;
     String votedFor = "";
     String identity;
-    byte[] state;
-    long stateIndex;
+    /** As it was read at the start, until it is taken: whoever owns the state needs no second one in memory. */
+    private byte[] state;
+    private long stateIndex;
     final Log log = new Log();
 
     Archive(final Shelf shelf) {
@@ -77,6 +78,17 @@
         return data.length == 0 ? List.of() : Arrays.asList(new String(data, UTF_8).split("\n"));
     }
 
+    long stateIndex() {
+        return stateIndex;
+    }
+
+    /** The state that was read, once; null where there was none. */
+    byte[] takeState() {
+        final byte[] taken = state;
+        state = null;
+        return taken;
+    }
+
     void saveIdentity(final String newIdentity, final Runnable synced) {
         identity = newIdentity;
         shelf.append(IDENTITY, identity.getBytes(UTF_8), synced);
@@ -120,14 +132,12 @@
 
     /** Puts a snapshot and the log behind it in the place of the whole file. */
     void rewrite(final long newStateIndex, final byte[] newState, final Runnable synced) {
-        stateIndex = newStateIndex;
-        state = newState;
         final List<Record.Piece> content = new ArrayList<>();
         content.add(new Record.Piece(IDENTITY, identity.getBytes(UTF_8)));
         content.add(new Record.Piece(VOTE, voteBody()));
         final byte[] voters = votersData(log.votersAt(log.baseIndex()));
-        content.add(new Record.Piece(IMAGE, ByteBuffer.allocate(28 + voters.length + state.length).putLong(stateIndex)
-            .putLong(log.baseIndex()).putLong(log.termAt(log.baseIndex())).putInt(voters.length).put(voters).put(state).array()));
+        content.add(new Record.Piece(IMAGE, ByteBuffer.allocate(28 + voters.length + newState.length).putLong(newStateIndex)
+            .putLong(log.baseIndex()).putLong(log.termAt(log.baseIndex())).putInt(voters.length).put(voters).put(newState).array()));
         for (long at = log.baseIndex() + 1; at <= log.lastIndex(); at++) {
             content.add(new Record.Piece(ENTRY, entryBody(log.get(at))));
         }
--- a/src/main/java/yewjunction/ledger/Course.java
+++ b/src/main/java/yewjunction/ledger/Course.java
@@ -38,9 +38,10 @@
         this.ledger = ledger;
         this.machine = machine;
         final Archive archive = ledger.archive;
-        if (archive.state != null) {
-            machine.restore(archive.stateIndex, archive.state);
-            applied = archive.stateIndex;
+        final byte[] state = archive.takeState();
+        if (state != null) {
+            machine.restore(archive.stateIndex(), state);
+            applied = archive.stateIndex();
             commit = applied;
         }
         syncedIndex = ledger.log.lastIndex();
