An edge whose name in the set was given up goes on under the next one

Enlist, which asks for a replica's name, may come late: one for an earlier life at the address gave that life the address's name and took the running process's away; so did more than REPLICA_GONE_MS out of the core's sight. The next lease got the process a further name, but it kept to the first, which no one took anything of. Its clients were served only as long as the edge stayed with the home that had their early word; with the next home nothing came to them, and nothing said so. Now it lets its clients go, which take up their cursors, and attaches under the new name (event 511); without one it waits as it does at its start.

NamesSimTest: 10 run, 6 failed on the code before (0 or 14 messages arrived in four seconds where more than 50 must; the four worlds without the fault passed), 0 failed now. CatalogueTest 1 run, 0 failed.

Whole suite: 374 run, 0 failed, 2 min 55 s.

--- a/src/main/java/yewjunction/herald/Envoy.java
+++ b/src/main/java/yewjunction/herald/Envoy.java
@@ -141,6 +141,12 @@
         return weft;
     }
 
+    /** What was said under the old name counts no more: attached anew under the new one, as soon as there is one. */
+    public void renamed() {
+        leave();
+        attach();
+    }
+
     private void leave() {
         if (home != null) {
             final Link left = home;
--- a/src/main/java/yewjunction/node/EdgeNode.java
+++ b/src/main/java/yewjunction/node/EdgeNode.java
@@ -113,10 +113,17 @@
     @Override
     public void factsChanged(final Facts facts) {
         final long name = facts.replica(address, life);
-        if (name != 0 && weave.self() == 0) {
-            weave.self(name);
+        final long before = weave.self();
+        weave.self(name);
+        weave.replicas(facts.newestReplica(), facts.liveReplicas());
+        if (before != 0 && name != before) {
+            // Given up while this process was away, or for an earlier life's late letter: under that name nobody is told of
+            // its clients any more. They come again, and what it says of them stands under the new one.
+            Event.REPLICA_LOST.warn(before + " now " + name);
+            dock.gapped();
+            envoy.renamed();
+        } else if (name != before) {
             envoy.attach();
         }
-        weave.replicas(facts.newestReplica(), facts.liveReplicas());
     }
 }
