A turn that fails takes nothing along, and a dial without a descriptor is a link that broke

Cause: an Error in a turn (a stack that overflows on deeply nested input) left the owner's turn with all commands that had been taken along with it, answers of the disk thread among them. A dial threw when no socket could be opened; timers that arm themselves behind their work (the ledger's watch for an election, a leader's beat) ended for ever with that.

Wires.dial gives back a link that is closed, tells its closing as of any other, and closes a socket that could not be bound. InboxTest checks the wake-up under Lincheck's model checker, switched at any point, with a wake-up before the put as the planted fault.

--- a/src/main/java/yewjunction/loom/Inbox.java
+++ b/src/main/java/yewjunction/loom/Inbox.java
@@ -5,7 +5,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicBoolean;
 
-/** Commands from any thread to the one owner. The only table in a process that threads share; it takes no lock. */
+/** Commands from any thread to the one owner: the only table that threads share with it (docs/control/threads.md). No lock. */
 final class Inbox<T> {
     // Not Agrona's many-to-one queue: there a put that is half done hides finished ones behind it (InboxTest).
     private final ConcurrentLinkedQueue<T> queue = new ConcurrentLinkedQueue<>();
--- a/src/main/java/yewjunction/loom/Loom.java
+++ b/src/main/java/yewjunction/loom/Loom.java
@@ -125,8 +125,9 @@
     private static void guard(final Turn turn) {
         try {
             turn.run();
-        } catch (final IOException | RuntimeException defect) {
-            // One broken turn must not end the process: state is changed only after checks.
+        } catch (final IOException | RuntimeException | StackOverflowError defect) {
+            // One broken turn must not end the process: state is changed only after checks. What nests too deep fails in
+            // the same way, and whoever sent it must not be able to end node after node. Other errors end the process.
             Event.TURN_DEFECT.warn(String.valueOf(defect.getMessage()), defect);
         }
     }
--- a/src/main/java/yewjunction/loom/Wires.java
+++ b/src/main/java/yewjunction/loom/Wires.java
@@ -23,7 +23,7 @@
 import static yewjunction.base.Limits.LINK_BEAT_MS;
 
 /** All peer links of a process over TCP. */
-public final class Wires implements Post {
+public class Wires implements Post {
     private final Loom loom;
     private final Codec codec;
     private final InetSocketAddress own;
@@ -69,8 +69,9 @@
             return known;
         }
         Wire wire = null;
+        SocketChannel channel = null;
         try {
-            final SocketChannel channel = SocketChannel.open();
+            channel = channel();
             // The own address as source: the platform's links belong to the machine's address.
             channel.bind(new InetSocketAddress(own.getAddress(), 0));
             wire = new Wire(this, loom, codec, channel, address);
@@ -79,13 +80,60 @@
             wire.connect();
         } catch (final IOException defect) {
             if (wire == null) {
-                throw new UncheckedIOException(defect);
+                // No descriptor is left, perhaps: a link that broke at once. Whoever dialled has more to do in this turn.
+                shut(channel);
+                final Link lost = new LostLink(address);
+                loom.post(() -> closers.forEach(closer -> closer.accept(lost)));
+                return lost;
             }
             wire.close();
         }
         return wire;
     }
 
+    private static void shut(final SocketChannel channel) {
+        try {
+            if (channel != null) {
+                channel.close();
+            }
+        } catch (final IOException ignored) {
+            // It was of no use anyway.
+        }
+    }
+
+    SocketChannel channel() throws IOException {
+        return SocketChannel.open();
+    }
+
+    /** A link that never was open. */
+    private static final class LostLink implements Link {
+        private final String remote;
+
+        LostLink(final String remote) {
+            this.remote = remote;
+        }
+
+        @Override
+        public String remote() {
+            return remote;
+        }
+
+        @Override
+        public boolean send(final Object letter) {
+            return false;
+        }
+
+        @Override
+        public boolean open() {
+            return false;
+        }
+
+        @Override
+        public void close() {
+            // Nothing to close.
+        }
+    }
+
     @Override
     public <T> void on(final Class<T> kind, final BiConsumer<Link, T> handler) {
         handlers.put(kind, (link, letter) -> handler.accept(link, kind.cast(letter)));
--- a/src/test/java/yewjunction/loom/InboxTest.java
+++ b/src/test/java/yewjunction/loom/InboxTest.java
@@ -2,14 +2,19 @@
 
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.jetbrains.kotlinx.lincheck.LincheckAssertionError;
 import org.jetbrains.kotlinx.lincheck.LinChecker;
 import org.jetbrains.kotlinx.lincheck.annotations.Operation;
 import org.jetbrains.kotlinx.lincheck.annotations.OpGroupConfig;
+import org.jetbrains.kotlinx.lincheck.annotations.Validate;
+import org.jetbrains.kotlinx.lincheck.strategy.managed.modelchecking.ModelCheckingOptions;
 import org.jetbrains.kotlinx.lincheck.strategy.stress.StressOptions;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** What threads share: every command arrives once, and none waits for a wake-up that nobody sends. */
@@ -30,6 +35,78 @@
         }
     }
 
+    /**
+     * The owner's turn as the loom has it, with a flag for the selector's pending wake-up, switched at any point. Whether a
+     * command is served at once is not asked, but that none is left behind once all who put are done.
+     */
+    @OpGroupConfig(name = "owner", nonParallel = true)
+    public static class Sleeper {
+        private final Inbox<Integer> inbox = new Inbox<>();
+        private final AtomicBoolean wakeUp = new AtomicBoolean();
+        private volatile boolean asleep;
+
+        @Operation
+        public void post(final int command) {
+            put(command);
+            wake();
+        }
+
+        final void put(final int command) {
+            inbox.put(command);
+        }
+
+        final void wake() {
+            if (inbox.mustWake()) {
+                wakeUp.set(true);
+            }
+        }
+
+        @Operation(group = "owner")
+        public void turn() {
+            if (asleep || inbox.isEmpty()) {
+                asleep = true;
+                if (!wakeUp.get()) {
+                    return;
+                }
+            }
+            asleep = false;
+            wakeUp.set(false);
+            inbox.takeAll();
+        }
+
+        @Validate
+        public void nothingWaitsForAnOwnerThatSleeps() {
+            if (asleep && !wakeUp.get() && !inbox.isEmpty()) {
+                throw new IllegalStateException("a command is left behind");
+            }
+        }
+    }
+
+    /** Planted: the flag is put up by who puts, before the put; the owner may take, lower the flag and sleep in between. */
+    public static class Hasty extends Sleeper {
+        @Override
+        @Operation
+        public void post(final int command) {
+            wake();
+            put(command);
+        }
+    }
+
+    private static ModelCheckingOptions everySwitch() {
+        return new ModelCheckingOptions().iterations(8).invocationsPerIteration(150).threads(2).actorsPerThread(3)
+            .actorsBefore(0).actorsAfter(0).minimizeFailedScenario(false);
+    }
+
+    @Test
+    void noSwitchLeavesACommandBehind() {
+        LinChecker.check(Sleeper.class, everySwitch());
+    }
+
+    @Test
+    void aWakeUpBeforeThePutShows() {
+        assertThrows(LincheckAssertionError.class, () -> LinChecker.check(Hasty.class, everySwitch()));
+    }
+
     @Test
     void putsAndTakesAreLinearizable() {
         LinChecker.check(Shared.class, new StressOptions().iterations(10).invocationsPerIteration(300)
