Signals, the settings file, the disk thread and the start hold at any point of a switch

Cause, each shown by a run: - SIGHUP ended a process that was still starting (exit 129) for the first 0.3 s: nobody listened for it yet.

Change: Signals listens before all else and keeps what comes early; SettingsFile notes the file's state before it reads and reads once more a look after each change; Worker and the agent's handler end the process on errors; main always exits.

--- a/src/main/java/yewjunction/app/Main.java
+++ b/src/main/java/yewjunction/app/Main.java
@@ -22,6 +22,7 @@
     public static final int EXIT_LEDGER = 4;
     public static final int EXIT_DISK = 5;
     public static final int EXIT_LISTEN = 6;
+    public static final int EXIT_DEFECT = 7;
     static final String SETTINGS_VARIABLE = "YEWJUNCTION_SETTINGS";
 
     private Main() {
@@ -46,8 +47,10 @@
                 System.err.println("no settings file: set " + SETTINGS_VARIABLE + " or give --settings FILE");
                 return EXIT_SETTINGS;
             }
+            final Signals signals = Signals.listen();
+            final SettingsFile settingsFile = new SettingsFile(path);
             try {
-                return run(path, Settings.load(path));
+                return process(settingsFile, settingsFile.load()).signalled(signals).planned(calendar).run();
             } catch (final Defect defect) {
                 System.err.println(defect.code() + " " + defect.getMessage());
                 return switch (defect.code()) {
@@ -64,22 +67,22 @@
             }
         }
 
-        abstract int run(Path path, Settings settings);
+        abstract Process process(SettingsFile settingsFile, Settings settings);
     }
 
     @Command(name = "tide", description = "Data plane: clients' links where it serves edge, kept messages where it serves store")
     public static final class TideCommand extends Program {
         @Override
-        int run(final Path path, final Settings settings) {
-            return new Process(path, settings, settings.serves().contains("store") ? Duty.VAULT : Duty.TIDE).planned(calendar).run();
+        Process process(final SettingsFile settingsFile, final Settings settings) {
+            return new Process(settingsFile, settings, settings.serves().contains("store") ? Duty.VAULT : Duty.TIDE);
         }
     }
 
     @Command(name = "crux", description = "Control plane: configuration, names and voters; serves the operator")
     public static final class CruxCommand extends Program {
         @Override
-        int run(final Path path, final Settings settings) {
-            return new Process(path, settings, Duty.CRUX).planned(calendar).run();
+        Process process(final SettingsFile settingsFile, final Settings settings) {
+            return new Process(settingsFile, settings, Duty.CRUX);
         }
     }
 
@@ -135,7 +138,13 @@
     }
 
     public static void main(final String[] arguments) throws Exception {
-        System.exit(run(arguments));
+        int code = EXIT_DEFECT;
+        try {
+            code = run(arguments);
+        } finally {
+            // Also when it threw: the agent's thread alone would keep a process that serves nobody.
+            System.exit(code);
+        }
     }
 
     static int run(final String[] arguments) throws Exception {
--- a/src/main/java/yewjunction/app/Process.java
+++ b/src/main/java/yewjunction/app/Process.java
@@ -1,14 +1,12 @@
 package yewjunction.app;
 
-import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Instant;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.function.IntConsumer;
 import org.agrona.concurrent.AgentRunner;
 import org.agrona.concurrent.NoOpIdleStrategy;
-import sun.misc.Signal;
 import yewjunction.base.Codec;
 import yewjunction.base.Defect;
 import yewjunction.base.Event;
@@ -40,13 +38,15 @@
     /** What a process is for. */
     enum Duty { TIDE, VAULT, CRUX }
 
-    private final Path file;
+    private final SettingsFile file;
     private final CountDownLatch ended = new CountDownLatch(1);
+    private Signals signals = new Signals();
     private String calendar;
-    private long fileMs;
     private boolean stopping;
+    /** Written by the owner before it ends, read by whoever awaited that. */
+    private RuntimeException startDefect;
 
-    Process(final Path file, final Settings settings, final Duty duty) {
+    Process(final SettingsFile file, final Settings settings, final Duty duty) {
         this.file = file;
         this.settings = settings;
         final String address = settings.address(duty == Duty.CRUX ? Settings.CRUX_OFFSET : Settings.TIDE_OFFSET);
@@ -72,11 +72,20 @@
         roster = new Roster(loom, self, datagrams::send);
         datagrams.onLetter(roster::take);
         node = switch (duty) {
-            case CRUX -> new CruxNode(loom, wires, disk(), new Worker(loom), roster, settings, life);
-            case VAULT -> new VaultNode(loom, wires, disk(), new Worker(loom), roster, settings, life);
+            case CRUX -> new CruxNode(loom, wires, disk(), worker(), roster, settings, life);
+            case VAULT -> new VaultNode(loom, wires, disk(), worker(), roster, settings, life);
             case TIDE -> new EdgeNode(loom, wires, roster, settings, life);
         };
-        fileMs = fileTime();
+    }
+
+    private Worker worker() {
+        return new Worker(loom, Runtime.getRuntime()::halt);
+    }
+
+    /** Whose signals it takes; those of a process of its own. */
+    Process signalled(final Signals chosenSignals) {
+        signals = chosenSignals;
+        return this;
     }
 
     /** Planned work from calendar files; read again with the settings. */
@@ -111,19 +120,13 @@
 
     /** Runs until told to stop. */
     int run() {
-        final AgentRunner runner = new AgentRunner(NoOpIdleStrategy.INSTANCE, defect -> Event.TURN_DEFECT.warn("loom", defect),
-            null, loom);
-        Signal.handle(new Signal("TERM"), signal -> loom.post(this::stopOnce));
-        Signal.handle(new Signal("INT"), signal -> loom.post(this::stopOnce));
-        Signal.handle(new Signal("HUP"), signal -> loom.post(this::reread));
-        loom.post(() -> {
-            roster.start(settings.coreAddresses());
-            node.start();
-            listen();
-            Event.STARTED.info(settings.node() + " " + settings.role());
-        });
+        final AgentRunner runner = new AgentRunner(NoOpIdleStrategy.INSTANCE,
+            defect -> broken(defect, Runtime.getRuntime()::halt), null, loom);
+        loom.post(this::start);
+        // Behind the start: a signal that came early finds a process that has started.
+        signals.deliver(kind -> loom.post(kind == Signals.Kind.STOP ? this::stopOnce : this::hungUp));
         loom.every(SETTINGS_LOOK_MS, () -> {
-            if (fileTime() != fileMs) {
+            if (file.due()) {
                 reread();
             }
         });
@@ -133,14 +136,48 @@
         } catch (final InterruptedException defect) {
             Thread.currentThread().interrupt();
         }
+        if (startDefect != null) {
+            throw startDefect;
+        }
         return Main.EXIT_OK;
     }
 
+    private void start() {
+        try {
+            roster.start(settings.coreAddresses());
+            node.start();
+            listen();
+            Event.STARTED.info(settings.node() + " " + settings.role());
+        } catch (final RuntimeException defect) {
+            // A process without its doors serves nobody, and nobody would notice: it ends and says why.
+            stopping = true;
+            startDefect = defect;
+            ended.countDown();
+        }
+    }
+
+    /** What one turn can't contain: after an error tables may be half changed, and only the disk says what was promised. */
+    static void broken(final Throwable defect, final IntConsumer ending) {
+        try {
+            Event.TURN_DEFECT.warn("loom", defect);
+        } finally {
+            if (defect instanceof Error) {
+                ending.accept(Main.EXIT_DEFECT);
+            }
+        }
+    }
+
     private void stopOnce() {
         if (!stopping) {
             stopping = true;
             Event.STOPPING.info(settings.node() + " " + settings.role());
-            node.stop(this::end);
+            try {
+                node.stop(this::end);
+            } catch (final RuntimeException defect) {
+                // What it could not give up in order ends as by a kill, and at once rather than after the platform's grace.
+                Event.TURN_DEFECT.warn("stop", defect);
+                end();
+            }
         }
     }
 
@@ -151,18 +188,14 @@
         loom.after(20, ended::countDown);
     }
 
-    private long fileTime() {
-        try {
-            return Files.getLastModifiedTime(file).toMillis();
-        } catch (final IOException defect) {
-            return fileMs;
-        }
+    private void hungUp() {
+        file.lookAgain();
+        reread();
     }
 
     private void reread() {
-        fileMs = fileTime();
         try {
-            final Settings fresh = Settings.load(file);
+            final Settings fresh = file.load();
             roster.seeds(fresh.coreAddresses());
             node.reread(fresh);
             readCalendar();
--- a/src/main/java/yewjunction/app/Rehearsal.java
+++ b/src/main/java/yewjunction/app/Rehearsal.java
@@ -16,7 +16,6 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import yewjunction.app.Process.Duty;
-import yewjunction.settings.Settings;
 
 /** A whole small system in one process on loopback: takes a configuration and carries one message. */
 final class Rehearsal {
@@ -68,7 +67,8 @@
             + "\nAz: zone-" + name + "\nListen: {Fe: '" + ip + ":" + (port + 4) + "', Ready: '" + ip + ":" + (port + 5)
             + "', Ctl: '" + ip + ":" + (port + 6) + "'}\nPortRange: [" + port + ", " + (port + 3) + "]\nSeeds: ['127.0.0.1:"
             + (port + 6) + "']\nBootstrap: true\nDatadir: " + folder.resolve(name) + "\n");
-        final Process process = new Process(file, Settings.load(file), duty);
+        final SettingsFile settingsFile = new SettingsFile(file);
+        final Process process = new Process(settingsFile, settingsFile.load(), duty);
         final Thread thread = new Thread(process::run, name);
         thread.setDaemon(true);
         thread.start();
--- a/src/main/java/yewjunction/app/Worker.java
+++ b/src/main/java/yewjunction/app/Worker.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.function.IntConsumer;
 import yewjunction.base.Defect;
 import yewjunction.base.Event;
 import yewjunction.base.Pulse;
@@ -13,14 +14,17 @@
 /** The pool for blocking work: disk syncs, in order. It shares no table with the owner, so there is no lock to order. */
 final class Worker implements Clerk {
     private final Pulse pulse;
+    private final IntConsumer ending;
     private final ExecutorService pool = Executors.newSingleThreadExecutor(task -> {
         final Thread thread = new Thread(null, task, "worker", 128 << 10);
         thread.setDaemon(true);
         return thread;
     });
 
-    Worker(final Pulse pulse) {
+    /** Ending ends the process with a code, at once. */
+    Worker(final Pulse pulse, final IntConsumer ending) {
         this.pulse = pulse;
+        this.ending = ending;
     }
 
     @Override
@@ -28,12 +32,16 @@
         pool.execute(() -> {
             try {
                 insist(blocking);
-            } catch (final RuntimeException | InterruptedException defect) {
-                // A disk that fails a sync can no longer be trusted: better down than wrong.
-                Event.DISK_FAILED.warn(String.valueOf(defect.getMessage()), defect);
-                Runtime.getRuntime().halt(Main.EXIT_DISK);
+                pulse.post(afterwards);
+            } catch (final Throwable defect) {
+                // A disk that fails a sync can no longer be trusted: better down than wrong. An error too, as of memory: the
+                // pool would go on with another thread, and the owner would wait for this work for ever.
+                try {
+                    Event.DISK_FAILED.warn(String.valueOf(defect.getMessage()), defect);
+                } finally {
+                    ending.accept(Main.EXIT_DISK);
+                }
             }
-            pulse.post(afterwards);
         });
     }
 
--- /dev/null
+++ b/src/test/java/yewjunction/app/WorkerTest.java
@@ -0,0 +1,115 @@
+package yewjunction.app;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import yewjunction.base.Defect;
+import yewjunction.base.Pulse;
+import yewjunction.ledger.Clerk;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** The disk thread: whoever gave it work hears of it, or the process ends. */
+class WorkerTest {
+    private final BlockingQueue<Runnable> posted = new LinkedBlockingQueue<>();
+    private final BlockingQueue<Integer> codes = new LinkedBlockingQueue<>();
+    private final Pulse pulse = new Pulse() {
+        @Override
+        public long nowMs() {
+            return 0;
+        }
+
+        @Override
+        public void after(final long delayMs, final Runnable task) {
+            throw new UnsupportedOperationException("alarms belong to the owner's thread");
+        }
+
+        @Override
+        public void post(final Runnable command) {
+            posted.add(command);
+        }
+
+        @Override
+        public Random luck() {
+            throw new UnsupportedOperationException();
+        }
+    };
+
+    private static void fail() {
+        throw new OutOfMemoryError("no room for a buffer");
+    }
+
+    /** The invariant: work that was given is answered, or the process ends; it is never silently forgotten. */
+    private boolean answeredOrEnded(final Clerk clerk) throws InterruptedException {
+        clerk.work(WorkerTest::fail, () -> { });
+        // The one thread takes things in order: once this is answered, the one before has had its turn.
+        clerk.work(() -> { }, () -> codes.add(-1));
+        final Runnable answer = posted.poll(10, TimeUnit.SECONDS);
+        assertTrue(answer != null, "the next work was not answered");
+        return posted.poll(200, TimeUnit.MILLISECONDS) != null || !codes.isEmpty();
+    }
+
+    @Test
+    void anErrorEndsTheProcess() throws InterruptedException {
+        assertTrue(answeredOrEnded(new Worker(pulse, codes::add)));
+        assertEquals(Main.EXIT_DISK, codes.poll());
+    }
+
+    /** Planted: only exceptions are looked at, and the pool goes on with another thread. */
+    @Test
+    void anErrorThatOnlyTheThreadHearsOfShows() throws InterruptedException {
+        final ExecutorService pool = Executors.newSingleThreadExecutor(task -> {
+            final Thread thread = new Thread(task);
+            thread.setUncaughtExceptionHandler((dead, defect) -> { });
+            return thread;
+        });
+        assertEquals(false, answeredOrEnded((blocking, afterwards) -> pool.execute(() -> {
+            try {
+                blocking.run();
+            } catch (final RuntimeException defect) {
+                codes.add(Main.EXIT_DISK);
+            }
+            pulse.post(afterwards);
+        })));
+        pool.shutdown();
+    }
+
+    @Test
+    void aFailedSyncEndsTheProcessAndNobodyIsToldThatItWorked() throws InterruptedException {
+        final Worker worker = new Worker(pulse, codes::add);
+        worker.work(() -> {
+            throw new Defect(Defect.Code.LEDGER_DISK, "sync failed");
+        }, () -> { });
+        assertEquals(Main.EXIT_DISK, codes.poll(10, TimeUnit.SECONDS));
+        assertNull(posted.poll());
+    }
+
+    @Test
+    void afterAFullDiskTheVerySameIsWrittenAndTheOrderStays() throws InterruptedException {
+        final Worker worker = new Worker(pulse, codes::add);
+        final List<String> written = new ArrayList<>();
+        final int[] tries = new int[1];
+        worker.work(() -> {
+            if (tries[0]++ < 2) {
+                throw new Defect(Defect.Code.LEDGER_FULL, "no room");
+            }
+            written.add("one");
+        }, () -> written.add("one answered"));
+        worker.work(() -> written.add("two"), () -> written.add("two answered"));
+        for (int answered = 0; answered < 2; answered++) {
+            final Runnable answer = posted.poll(10, TimeUnit.SECONDS);
+            assertTrue(answer != null, "not answered");
+            answer.run();
+        }
+        assertEquals(List.of("one", "two"), written.stream().filter(one -> !one.contains("answered")).toList());
+        assertTrue(written.indexOf("one answered") < written.indexOf("two answered") && codes.isEmpty());
+    }
+}
