--- a/src/main/java/yewjunction/app/Main.java
+++ b/src/main/java/yewjunction/app/Main.java
@@ -141,10 +141,11 @@
         int code = EXIT_DEFECT;
         try {
             code = run(arguments);
-        } finally {
-            // Also when it threw: the agent's thread alone would keep a process that serves nobody.
-            System.exit(code);
+        } catch (final Exception | Error defect) {
+            defect.printStackTrace();
         }
+        // Also when it threw: the agent's thread alone would keep a process that serves nobody.
+        System.exit(code);
     }
 
     static int run(final String[] arguments) throws Exception {
--- a/src/main/java/yewjunction/app/Process.java
+++ b/src/main/java/yewjunction/app/Process.java
@@ -182,10 +182,10 @@
     }
 
     private void end() {
+        // One more turn, so that what is written in this one leaves; armed first, so that it ends whatever fails here.
+        loom.after(20, ended::countDown);
         roster.leave();
         Event.STOPPED.info(settings.node() + " " + settings.role());
-        // One more turn, so that what was written in this one leaves.
-        loom.after(20, ended::countDown);
     }
 
     private void hungUp() {
--- a/src/test/java/yewjunction/app/SettingsFileTest.java
+++ b/src/test/java/yewjunction/app/SettingsFileTest.java
@@ -4,6 +4,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.attribute.FileTime;
+import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import yewjunction.base.Defect;
@@ -32,9 +33,13 @@
 
     /** Reads as often as the process would, and tells what it knows then. */
     private String seedsAfter(final SettingsFile file, final int looks) {
+        return seedsAfter(file, file::due, looks);
+    }
+
+    private static String seedsAfter(final SettingsFile file, final BooleanSupplier due, final int looks) {
         String known = "";
         for (int look = 0; look < looks; look++) {
-            if (file.due()) {
+            if (due.getAsBoolean()) {
                 known = file.load().seeds().toString();
             }
         }
@@ -56,14 +61,25 @@
         assertFalse(file.due());
     }
 
-    /** Planted: the time alone, as it stood when the file was read first. */
+    /** Planted: the time alone, noted when the file is read. */
     @Test
     void aFileJudgedByItsTimeAloneShows() throws IOException {
         final Path path = folder.resolve("settings.yaml");
+        final SettingsFile file = new SettingsFile(path);
         write(WHOLE);
         final FileTime read = Files.getLastModifiedTime(path);
-        write(later("10.0.0.5:8024"));
-        assertEquals(read, Files.getLastModifiedTime(path));
+        file.load();
+        write(WHOLE + "Extra: 1\n");
+        assertEquals("", seedsAfter(file, () -> !time(path).equals(read), 3));
+        assertTrue(seedsAfter(file, 3).contains("10.0.0.3:8024"));
+    }
+
+    private static FileTime time(final Path path) {
+        try {
+            return Files.getLastModifiedTime(path);
+        } catch (final IOException defect) {
+            throw new java.io.UncheckedIOException(defect);
+        }
     }
 
     @Test
