What arms itself is armed first; half a request holds up no look at readiness

Cause: beats, the look at elections and the steps of a drain armed their next turn last, so one exception ended them for good; readiness was answered on the one thread that takes connections, so a caller cut off half way held up every later look; an append that could not open its file would have cut it back to nothing. Change: armed first (or in finally); two threads and bounded transfer times for readiness; the position is read before anything that may be cut back. Result: WebTest.halfARequestHoldsUpNoLaterLook fails without the threads (no answer in 10 s) and passes with them. The others are by reading; no run brought them about.

--- a/src/main/java/yewjunction/app/Web.java
+++ b/src/main/java/yewjunction/app/Web.java
@@ -25,6 +25,7 @@
 import static yewjunction.base.ControlLimits.CALL_READ_MOST;
 import static yewjunction.base.ControlLimits.CALL_THREAD_IDLE_MS;
 import static yewjunction.base.ControlLimits.CALL_TRANSFER_S;
+import static yewjunction.base.ControlLimits.READY_THREADS;
 import static yewjunction.base.Limits.CALL_THREADS;
 import static yewjunction.base.Limits.CONFIG_BYTES;
 
@@ -36,6 +37,9 @@
     }
 
     private static HttpServer server(final String address, final HttpHandler handler, final Executor pool) {
+        // Read by the server when it is made: else a caller that was cut off half way would keep its thread.
+        System.setProperty("sun.net.httpserver.maxReqTime", String.valueOf(CALL_TRANSFER_S));
+        System.setProperty("sun.net.httpserver.maxRspTime", String.valueOf(CALL_TRANSFER_S));
         try {
             final HttpServer server = HttpServer.create(Addresses.parse(address), 64);
             server.createContext("/", handler);
@@ -48,11 +52,12 @@
     }
 
     /** Says whether the node takes clients. */
-    static void readiness(final String address, final BooleanSupplier ready) {
-        server(address, exchange -> {
+    static HttpServer readiness(final String address, final BooleanSupplier ready) {
+        // Not on the one thread that takes connections: half a request would hold up every later look.
+        return server(address, exchange -> {
             final boolean known = exchange.getRequestURI().getPath().equals("/-/readyz");
             answer(exchange, !known ? 404 : ready.getAsBoolean() ? 200 : 503, "");
-        }, null);
+        }, pool("ready", READY_THREADS));
     }
 
     /** What the owner of the tables does with a call; it answers once, maybe later. */
@@ -62,9 +67,6 @@
 
     /** The operator's calls, each handed to the owner of the tables; a thread is held only while bytes travel. */
     static HttpServer operator(final String address, final Pulse pulse, final Owner owner) {
-        // Read by the server when it is made: else a caller that was cut off half way would keep its thread.
-        System.setProperty("sun.net.httpserver.maxReqTime", String.valueOf(CALL_TRANSFER_S));
-        System.setProperty("sun.net.httpserver.maxRspTime", String.valueOf(CALL_TRANSFER_S));
         final Executor pool = pool("call", CALL_THREADS);
         return server(address, exchange -> {
             final Desk.Request request = read(exchange);
--- a/src/main/java/yewjunction/base/ControlLimits.java
+++ b/src/main/java/yewjunction/base/ControlLimits.java
@@ -21,6 +21,8 @@
     public static final int CALL_TRANSFER_S = 15;
     /** bytes; for so many a call may take a millisecond more than CALL_MS: a route has about 150, and is read in 0.1 ms. */
     public static final int CALL_BYTES_PER_MS = 100;
+    /** threads; for looks whether a node is ready: one may wait for a caller that was cut off half way. */
+    public static final int READY_THREADS = 2;
     /** ms; an idle call thread goes after that. */
     public static final long CALL_THREAD_IDLE_MS = 2_000;
     /** bytes; a body that is too big is read so far before it is denied: closed on, its sender might not read the answer. */
--- a/src/main/java/yewjunction/dock/Drain.java
+++ b/src/main/java/yewjunction/dock/Drain.java
@@ -19,6 +19,7 @@
     private final Runnable done;
     private final long startMs;
     private int turn;
+    private boolean over;
 
     public Drain(final Pulse pulse, final Dock dock, final Roster roster, final Runnable done) {
         this.pulse = pulse;
@@ -36,6 +37,11 @@
     }
 
     private void step() {
+        if (over) {
+            return;
+        }
+        // Armed first: a step that fails must not be the last one.
+        pulse.after(MOVE_STEP_MS, this::step);
         final long sinceMs = pulse.nowMs() - startMs;
         final List<Berth> staying = new ArrayList<>();
         for (final Berth berth : dock.berths()) {
@@ -51,10 +57,9 @@
         // New links keep coming until the platform has seen that this node is not ready: it listens to the end.
         if (sinceMs >= DRAIN_MS || dock.berths().isEmpty() && sinceMs >= DRAIN_MS - MOVE_SPAN_MS / 2) {
             Event.DRAIN_DONE.info(dock.berths().size() + " links left");
+            over = true;
             done.run();
-            return;
         }
-        pulse.after(MOVE_STEP_MS, this::step);
     }
 
     void move(final Berth berth) {
--- a/src/main/java/yewjunction/ledger/Election.java
+++ b/src/main/java/yewjunction/ledger/Election.java
@@ -56,8 +56,12 @@
         if (ledger.stopped()) {
             return;
         }
-        standWhenDue();
-        ledger.pulse.after(Math.max(10, ledger.leadsTerm() ? ELECT_LEAST_MS : electAtMs - ledger.pulse.nowMs()), this::watch);
+        try {
+            standWhenDue();
+        } finally {
+            // A turn that fails must not be the last look.
+            ledger.pulse.after(Math.max(10, ledger.leadsTerm() ? ELECT_LEAST_MS : electAtMs - ledger.pulse.nowMs()), this::watch);
+        }
     }
 
     /** Asks for votes: first only whether they would be given, so that a member cut off raises no terms. */
--- a/src/main/java/yewjunction/ledger/Leading.java
+++ b/src/main/java/yewjunction/ledger/Leading.java
@@ -81,6 +81,8 @@
         if (ofEra != era || !ledger.leadsTerm()) {
             return;
         }
+        // Armed first: a turn that fails must not be the last beat.
+        ledger.pulse.after(BEAT_MS, () -> beat(ofEra));
         final long nowMs = ledger.pulse.nowMs();
         // A leader that a majority no longer answers steps down, so that others are not led astray.
         final List<String> voters = ledger.voters();
@@ -100,7 +102,6 @@
         if (ledger.leads() && !electorate.handing() && (tempo.drags() && !images.hold(nowMs) || ledger.course.owedMs() > DISK_DRAGS_MS)) {
             electorate.handOver(tempo::reset);
         }
-        ledger.pulse.after(BEAT_MS, () -> beat(ofEra));
     }
 
     long append(final int kind, final byte[] data) {
--- a/src/main/java/yewjunction/ledger/Ledger.java
+++ b/src/main/java/yewjunction/ledger/Ledger.java
@@ -223,9 +223,11 @@
             leading.end();
         }
         election.over();
-        if (newLeader == null) {
-            lostLeader();
-        } else {
+        if (newLeader == null && leaderIdentity != null) {
+            leaderIdentity = null;
+            course.dropProposals();
+            machine.leader(null, false);
+        } else if (newLeader != null) {
             heardMs = pulse.nowMs();
             restartClock();
             if (!newLeader.equals(leaderIdentity)) {
@@ -237,14 +239,6 @@
         }
     }
 
-    private void lostLeader() {
-        if (leaderIdentity != null) {
-            leaderIdentity = null;
-            course.dropProposals();
-            machine.leader(null, false);
-        }
-    }
-
     void announceLeading() {
         machine.leader(archive.identity, true);
     }
--- a/src/main/java/yewjunction/ledger/LocalDisk.java
+++ b/src/main/java/yewjunction/ledger/LocalDisk.java
@@ -60,14 +60,14 @@
 
     @Override
     public void append(final String name, final byte[] bytes) {
-        final long[] before = new long[1];
+        // Outside of what may be cut back: a file that cannot be opened keeps its length.
+        final FileChannel channel = guard("open " + name, () -> channel(name));
+        final long before = guard("position of " + name, channel::position);
         try {
-            final FileChannel channel = channel(name);
-            before[0] = channel.position();
             write(channel, bytes);
         } catch (final IOException defect) {
             // What was written in part goes again, so that the same can be tried once there is room.
-            guard("cut back " + name, () -> channel(name).truncate(before[0]).position(before[0]));
+            guard("cut back " + name, () -> channel.truncate(before).position(before));
             throw new Defect(LEDGER_FULL, "append " + name + ": " + defect.getMessage(), defect);
         }
     }
--- a/src/test/java/yewjunction/app/WebTest.java
+++ b/src/test/java/yewjunction/app/WebTest.java
@@ -165,4 +165,20 @@
         reader.work(() -> { }, back::countDown);
         assertTrue(back.await(20, TimeUnit.SECONDS));
     }
+
+    /** A caller that was cut off half way holds a thread, and later looks are answered all the same. */
+    @Test
+    void halfARequestHoldsUpNoLaterLook() throws Exception {
+        server = Web.readiness("127.0.0.1:0", () -> true);
+        final int port = server.getAddress().getPort();
+        try (java.net.Socket half = new java.net.Socket("127.0.0.1", port)) {
+            half.getOutputStream().write("GET /-/re".getBytes(java.nio.charset.StandardCharsets.US_ASCII));
+            half.getOutputStream().flush();
+            for (int look = 0; look < 3; look++) {
+                final HttpResponse<String> answer = client.sendAsync(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port
+                    + "/-/readyz")).build(), HttpResponse.BodyHandlers.ofString()).get(10, TimeUnit.SECONDS);
+                assertEquals(200, answer.statusCode());
+            }
+        }
+    }
 }
