--- /dev/null
+++ b/src/test/java/yewjunction/charter/CoreTurnCost.java
@@ -0,0 +1,49 @@
+package yewjunction.charter;
+
+import java.lang.management.ManagementFactory;
+import java.util.Random;
+
+/** What building a core's snapshot costs its owner at the largest configuration: ms of a thread's processor. */
+final class CoreTurnCost {
+    private CoreTurnCost() {
+    }
+
+    public static void main(final String[] words) {
+        final Core core = new Core(new Core.Watcher() {
+            @Override
+            public void configChanged() {
+            }
+
+            @Override
+            public void factsChanged() {
+            }
+
+            @Override
+            public void settledTo(final long commit) {
+            }
+
+            @Override
+            public void leaderIs(final String identity, final boolean self) {
+            }
+        });
+        final Random luck = new Random(1);
+        final int bytes = Integer.parseInt(words[0]);
+        for (int i = 1; i <= 520; i++) {
+            final Deed deed = new Deed();
+            deed.kind = Deed.CONFIG;
+            deed.base = i - 1;
+            deed.version = i;
+            deed.digest = Long.toHexString(luck.nextLong()).repeat(4);
+            deed.json = i < 520 ? "{}" : "\"route\":\"a.b\",".repeat(bytes / 14);
+            core.apply(i, Core.bytes(deed));
+        }
+        final var threads = ManagementFactory.getThreadMXBean();
+        for (int round = 0; round < 5; round++) {
+            final long startNs = threads.getCurrentThreadCpuTime();
+            final long wallNs = System.nanoTime();
+            final byte[] state = core.snapshot();
+            System.out.printf("Core.snapshot of %d bytes: cpu %.1f ms, wall %.1f ms%n", state.length,
+                (threads.getCurrentThreadCpuTime() - startNs) / 1e6, (System.nanoTime() - wallNs) / 1e6);
+        }
+    }
+}
