--- a/src/main/java/yewjunction/ledger/Standing.java
+++ b/src/main/java/yewjunction/ledger/Standing.java
@@ -24,18 +24,17 @@
     /** What was committed when this was last looked at, and since when the peer has not taken it. */
     private long goal;
     private long goalMs;
-
-    void said(final Letters.Join join, final long nowMs) {
-        wantsVote = join.wantsVote;
-        leavesMs = join.leaves == null ? 0 : nowMs;
-    }
-
     /** Far behind; where what it was sent last ends, 0 when that was answered; and when it was sent. */
     private boolean behind;
     private long windowEnd;
     private long sentMs;
     private final Pace pace = new Pace(APPEND_BYTES);
 
+    void said(final Letters.Join join, final long nowMs) {
+        wantsVote = join.wantsVote;
+        leavesMs = join.leaves == null ? 0 : nowMs;
+    }
+
     /**
      * The entries to send next. All that a peer far behind lacks would wait on its link before any beat: it gets a little
      * at a time, each after the answer to the one before, or after a denial when that was lost.
