--- a/src/main/java/yewjunction/ledger/Images.java
+++ b/src/main/java/yewjunction/ledger/Images.java
@@ -96,9 +96,13 @@
 
     /** Whether this leader had better stay: the next one would begin a snapshot anew that is under way here. */
     boolean hold(final long nowMs) {
-        // A receiver that is gone for less than a broken link takes to show may be back.
-        return sendings.entrySet().stream().anyMatch(one -> nowMs - one.getValue().beganMs < IMAGE_LEAD_MS
-            && nowMs - leading.standing(one.getKey()).heardMs < LINK_SILENCE_MS + 2 * IMAGE_ASK_MS);
+        return sendings.entrySet().stream().anyMatch(one -> {
+            final Sending sending = one.getValue();
+            final Standing standing = leading.standings.get(one.getKey());
+            // What is there in full needs this leader no more, and a receiver may be gone while a broken link shows.
+            return standing != null && sending.offset < sending.snapshot.state.length && nowMs - sending.beganMs < IMAGE_LEAD_MS
+                && nowMs - standing.heardMs < LINK_SILENCE_MS + 2 * IMAGE_ASK_MS;
+        });
     }
 
     /** The newest one under way, unless the log behind it has grown so long that its receiver may never reach the end. */
