--- a/src/test/java/yewjunction/system/Strikes.java
+++ b/src/test/java/yewjunction/system/Strikes.java
@@ -94,6 +94,30 @@
         }
     }
 
+    void killWhileCutOff(final String victim, final long forMs) {
+        note("killed while cut off " + victim + " " + forMs);
+        core().forEach(other -> town.world.cut(victim + ":", other + ":"));
+        town.world.runFor(forMs / 2);
+        on(victim).forEach(town::kill);
+        town.world.runFor(forMs / 4);
+        back();
+        town.world.runFor(forMs / 4);
+        town.world.join();
+        lost(0);
+    }
+
+    void killAsItWakes(final String victim, final long forMs) {
+        note("frozen, links reset, killed as it wakes " + victim + " " + forMs);
+        hosts(victim).forEach(Host::freeze);
+        town.world.runFor(forMs / 2);
+        hosts(victim).forEach(Host::resetLinks);
+        town.world.runFor(forMs / 2);
+        hosts(victim).forEach(Host::thaw);
+        town.world.runFor(draw.nextInt(30));
+        on(victim).forEach(town::kill);
+        lost(span(100, 2_000));
+    }
+
     void wipe(final String machine) {
         on(machine).forEach(town::powerOff);
         hosts(machine).forEach(Host::wipe);
--- a/src/test/java/yewjunction/system/Troubles.java
+++ b/src/test/java/yewjunction/system/Troubles.java
@@ -130,28 +130,8 @@
                 note("links reset on all of the core");
                 core().forEach(one -> hosts(one).forEach(Host::resetLinks));
             }
-            case 19 -> {
-                note("killed while cut off " + victim + " " + forMs);
-                core().forEach(other -> town.world.cut(victim + ":", other + ":"));
-                town.world.runFor(forMs / 2);
-                on(victim).forEach(town::kill);
-                town.world.runFor(forMs / 4);
-                back();
-                town.world.runFor(forMs / 4);
-                town.world.join();
-                lost(0);
-            }
-            default -> {
-                note("frozen, links reset, killed as it wakes " + victim + " " + forMs);
-                hosts(victim).forEach(Host::freeze);
-                town.world.runFor(forMs / 2);
-                hosts(victim).forEach(Host::resetLinks);
-                town.world.runFor(forMs / 2);
-                hosts(victim).forEach(Host::thaw);
-                town.world.runFor(draw.nextInt(30));
-                on(victim).forEach(town::kill);
-                lost(span(100, 2_000));
-            }
+            case 19 -> killWhileCutOff(victim, forMs);
+            default -> killAsItWakes(victim, forMs);
         }
         town.world.runFor(span(0, 1_500));
     }
