An explicit-state model check of the replicated log, and faults that it must find

Invariants: one leader a term, agreement, a committed entry on a majority's disks, a leader holds all that earlier terms committed, no confirmation by a deposed leader, the group goes on once all is healed.

The whole suite was not run for this commit; nothing outside of src/test/java/yewjunction/ledger/Model* is touched.

--- /dev/null
+++ b/src/test/java/yewjunction/ledger/ModelWorld.java
@@ -0,0 +1,217 @@
+package yewjunction.ledger;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.function.Supplier;
+import yewjunction.base.Defect;
+
+import static yewjunction.ledger.ModelStep.of;
+
+/** The members of one group and everything between them; moves only by the scheduler's steps. */
+final class ModelWorld {
+    final ModelSetup setup;
+    final ModelFault fault;
+    final List<ModelHost> hosts = new ArrayList<>();
+    final List<ModelPost.Wire> wires = new ArrayList<>();
+    final ModelMonitor monitor = new ModelMonitor(this);
+    ModelBudget budget;
+    /** Letters so far, whether they arrive or not. */
+    long sent;
+    /** The plain clock draws; the scheduler does not. */
+    Random plainLuck;
+    private long proposed;
+
+    ModelWorld(final ModelSetup setup, final ModelFault fault) {
+        this.setup = setup;
+        this.fault = fault;
+        for (final String address : setup.addresses()) {
+            hosts.add(new ModelHost(this, hosts.size(), address));
+        }
+        hosts.forEach(host -> host.boot(host.number < setup.voters()));
+        budget = new ModelBudget(0, 0, 0, 0, 0, 0, 0, 0);
+        for (int at = 0; at < setup.prefix().length(); at++) {
+            apply(setup.prefix().charAt(at));
+        }
+        budget = new ModelBudget(setup.budget());
+    }
+
+    ModelHost at(final String address) {
+        return hosts.stream().filter(host -> host.address.equals(address)).findFirst().orElseThrow();
+    }
+
+    /** Runs a schedule to its end or to the first invariant that breaks. */
+    ModelWorld run(final String schedule) {
+        for (int at = 0; at < schedule.length(); at++) {
+            apply(schedule.charAt(at));
+        }
+        return this;
+    }
+
+    /** All that may happen next. */
+    String enabled() {
+        final StringBuilder steps = new StringBuilder();
+        for (final ModelPost.Wire wire : wires) {
+            final int from = wire.dialler.owner.number;
+            final int to = wire.taker.owner.number;
+            if (!wire.taker.inbound.isEmpty()) {
+                steps.append(of(ModelStep.DELIVER, from, to, place(wire)));
+            }
+            if (!wire.dialler.inbound.isEmpty()) {
+                steps.append(of(ModelStep.REPLY, to, from, place(wire)));
+            }
+            if (wire.whole && budget.allows(ModelStep.BREAK)) {
+                steps.append(of(ModelStep.BREAK, from, to, place(wire)));
+            }
+        }
+        for (final ModelHost host : hosts) {
+            if (!host.up()) {
+                steps.append(of(ModelStep.BOOT, host.number, 0, 0));
+                if (budget.allows(ModelStep.WIPE) && monitor.mayLose(host)) {
+                    steps.append(of(ModelStep.WIPE, host.number, 0, 0));
+                }
+                continue;
+            }
+            if (!host.works.isEmpty()) {
+                steps.append(of(ModelStep.DISK, host.number, 0, 0));
+            }
+            bounded(steps, ModelStep.TIMER, host, true);
+            bounded(steps, ModelStep.FREEZE, host, true);
+            if (budget.allows(ModelStep.CRASH)) {
+                final boolean owes = !host.works.isEmpty() || host.disk.owes();
+                for (int fate = 0; fate < (owes ? 4 : 1); fate++) {
+                    steps.append(of(ModelStep.CRASH, host.number, 0, fate));
+                }
+            }
+            final boolean leads = host.ledger.leads();
+            bounded(steps, ModelStep.PROPOSE, host, leads && !host.ledger.electorate().handing());
+            bounded(steps, ModelStep.CONFIRM, host, leads);
+            bounded(steps, ModelStep.HAND, host, leads && !host.ledger.electorate().handing());
+        }
+        return steps.toString();
+    }
+
+    private void bounded(final StringBuilder steps, final int kind, final ModelHost host, final boolean possible) {
+        if (possible && budget.allows(kind)) {
+            steps.append(of(kind, host.number, 0, 0));
+        }
+    }
+
+    /** Which of several links between the same two, dialled by the same one: an end may not know yet that it is dead. */
+    private int place(final ModelPost.Wire wire) {
+        int place = 0;
+        for (final ModelPost.Wire other : wires) {
+            if (other == wire) {
+                return place;
+            }
+            place += other.dialler.owner == wire.dialler.owner && other.taker.owner == wire.taker.owner ? 1 : 0;
+        }
+        throw new IllegalStateException("no such link");
+    }
+
+    private ModelPost.Wire wire(final int dialler, final int taker, final int place) {
+        int at = 0;
+        for (final ModelPost.Wire wire : wires) {
+            if (wire.dialler.owner.number == dialler && wire.taker.owner.number == taker && at++ == place) {
+                return wire;
+            }
+        }
+        throw new IllegalArgumentException("no link " + dialler + " to " + taker);
+    }
+
+    void apply(final char step) {
+        final ModelHost host = hosts.get(ModelStep.member(step));
+        budget.spend(ModelStep.kind(step));
+        final ModelHost acted = guarded(ModelStep.text(step), () -> turn(step, host));
+        wires.removeIf(ModelPost.Wire::over);
+        monitor.look(acted);
+    }
+
+    /** What the code itself refuses to go on with is a broken invariant as well. */
+    private static <T> T guarded(final String what, final Supplier<T> turn) {
+        try {
+            return turn.get();
+        } catch (final IllegalStateException | IndexOutOfBoundsException | NullPointerException | Defect defect) {
+            throw new ModelViolation("the code's own invariant: " + what + ": " + defect);
+        }
+    }
+
+    /** A schedule written by hand may ask for what cannot happen: no finding. */
+    private static void possible(final boolean holds, final char step) {
+        if (!holds) {
+            throw new IllegalArgumentException("not possible here: " + ModelStep.text(step));
+        }
+    }
+
+    private static void deliver(final ModelPost.End end, final char step) {
+        possible(!end.inbound.isEmpty(), step);
+        end.deliver();
+    }
+
+    /** The member whose turn it was. */
+    private ModelHost turn(final char step, final ModelHost host) {
+        final int kind = ModelStep.kind(step);
+        if (kind != ModelStep.DRAIN && kind != ModelStep.BREAK && kind != ModelStep.DELIVER && kind != ModelStep.REPLY) {
+            possible(host.up() == (kind != ModelStep.BOOT && kind != ModelStep.WIPE), step);
+            possible(kind != ModelStep.DISK || !host.works.isEmpty(), step);
+        }
+        ModelHost acted = host;
+        switch (kind) {
+            case ModelStep.TIMER -> host.timerFires();
+            case ModelStep.DISK -> host.diskWorks();
+            case ModelStep.DELIVER -> {
+                acted = hosts.get(ModelStep.other(step));
+                deliver(wire(host.number, acted.number, ModelStep.which(step)).taker, step);
+            }
+            case ModelStep.REPLY -> {
+                acted = hosts.get(ModelStep.other(step));
+                deliver(wire(acted.number, host.number, ModelStep.which(step)).dialler, step);
+            }
+            case ModelStep.BREAK -> wire(host.number, ModelStep.other(step), ModelStep.which(step)).snap();
+            case ModelStep.CRASH -> host.stop(ModelStep.which(step));
+            case ModelStep.BOOT -> boot(host);
+            case ModelStep.WIPE -> {
+                host.wipe();
+                boot(host);
+            }
+            case ModelStep.FREEZE -> host.froze();
+            case ModelStep.PROPOSE -> propose(host);
+            case ModelStep.CONFIRM -> monitor.confirms(host);
+            case ModelStep.HAND -> {
+                host.ledger.electorate().handOver(() -> { });
+                host.runCommands();
+            }
+            default -> new ModelPlain(this).drain();
+        }
+        return acted;
+    }
+
+    private void boot(final ModelHost host) {
+        host.boot(false);
+        monitor.booted(host);
+    }
+
+    void propose(final ModelHost host) {
+        final long value = ++proposed;
+        final long[] index = new long[1];
+        if (host.ledger.propose(ByteBuffer.allocate(8).putLong(value).array(), done -> {
+            if (done) {
+                monitor.acknowledged(index[0], value);
+            }
+        })) {
+            index[0] = host.ledger.log.lastIndex();
+        }
+        host.runCommands();
+    }
+
+    /** Whatever happened before: once every machine runs and every letter arrives, the group serves again. */
+    void goesOn() {
+        plainLuck = new Random(7);
+        hosts.stream().filter(host -> !host.up()).forEach(this::boot);
+        guarded("in plain time", () -> {
+            new ModelPlain(this).goesOn();
+            return null;
+        });
+    }
+}
