Seats: a voter whose disk is gone goes before its machine's new member comes

Change: a member that comes back under another identity takes the old one out first, as it was; the old one can never come back. A silent voter still goes last, since it can. The model check asks around as the product does.

--- a/src/main/java/yewjunction/ledger/Electorate.java
+++ b/src/main/java/yewjunction/ledger/Electorate.java
@@ -62,9 +62,9 @@
     }
 
     /**
-     * Fills the seats, by changes of one voter each. A newcomer at a voter's address means that the voter's disk is gone; a
-     * voter that is silent, that ends, or whose disk no longer takes what others have taken, loses its seat to a newcomer
-     * that does better. First the new one comes, then the old one goes: whoever was only away for a while counts until then.
+     * Fills the seats, by changes of one voter each. A newcomer at a voter's address means that the voter's disk is gone, and
+     * that voter for good: it goes first. A voter that is silent, that ends, or whose disk no longer takes what others have
+     * taken, loses its seat to a newcomer that does better, and goes last: whoever was only away counts until then.
      */
     void settle() {
         if (!ledger.leads() || handing || changing()) {
@@ -85,8 +85,8 @@
         final String newcomer = surplus == null ? newcomer(voters, nowMs) : null;
         if (surplus != null) {
             newVoters.remove(surplus);
-        } else if (newcomer != null && (voters.size() < seating.seats() || voters.stream().anyMatch(voter ->
-                Ledger.address(voter).equals(Ledger.address(newcomer)) || weak(voter, nowMs)))) {
+        } else if (newcomer != null && !newVoters.removeIf(voter -> Ledger.address(voter).equals(Ledger.address(newcomer)))
+            && (voters.size() < seating.seats() || voters.stream().anyMatch(voter -> weak(voter, nowMs)))) {
             newVoters.add(newcomer);
         }
         // A change that a majority of the new voters cannot take would hold up all others, and may never be undone.
@@ -108,13 +108,6 @@
 
     /** The voter that goes since its successor has come; null when none has to. */
     private String surplus(final List<String> voters, final long nowMs) {
-        for (final String voter : voters) {
-            // Its disk is gone: another member of the same address has its vote.
-            if (!voter.equals(ledger.identity()) && !answers(voter, nowMs) && voters.stream().anyMatch(other ->
-                    !other.equals(voter) && Ledger.address(other).equals(Ledger.address(voter)))) {
-                return voter;
-            }
-        }
         if (voters.size() <= seating.seats()) {
             return null;
         }
--- a/src/test/java/yewjunction/ledger/ModelHost.java
+++ b/src/test/java/yewjunction/ledger/ModelHost.java
@@ -103,17 +103,11 @@
             }
         }
         ledger.start();
-        every(POKE_MS, this::askAround);
+        ledger.membership().keep(() -> world.hosts.stream().filter(other -> other != this).map(other -> other.address).toList(),
+            () -> true);
         runCommands();
     }
 
-    /** What the owner of a ledger does in the product. */
-    private void askAround() {
-        if (!ledger.voters().contains(ledger.identity()) || ledger.leaderless()) {
-            world.hosts.stream().filter(other -> other != this).forEach(other -> ledger.join(other.address, true));
-        }
-    }
-
     private void forgetVotes() {
         final ByteArrayOutputStream kept = new ByteArrayOutputStream();
         for (final Record.Piece piece : Record.read(disk.read("")).pieces()) {
