--- a/src/test/java/yewjunction/ledger/ModelMonitor.java
+++ b/src/test/java/yewjunction/ledger/ModelMonitor.java
@@ -189,7 +189,12 @@
     /** Whether one more machine may lose its disk without more losses at once than are borne. */
     boolean mayLose(final ModelHost host) {
         final long good = world.hosts.stream().filter(this::good).count();
-        return world.setup.seats() - good + (good(host) ? 1 : 0) <= world.setup.tolerates();
+        // A loss is made good once its successor votes and the lost identity no longer does: until then both are reckoned.
+        final long gone = newestVoters.stream().filter(voter -> !voter.equals(onDisk(world.at(Ledger.address(voter))).identity)).count();
+        final String identity = onDisk(host).identity;
+        final boolean votes = identity != null && newestVoters.contains(identity);
+        return world.setup.seats() - good + (good(host) ? 1 : 0) <= world.setup.tolerates()
+            && gone + (votes ? 1 : 0) <= world.setup.tolerates();
     }
 
     /** It votes by all disks that know any voters, and holds what was committed if it ever lost that. */
