--- a/src/test/java/yewjunction/sim/Dialling.java
+++ b/src/test/java/yewjunction/sim/Dialling.java
@@ -18,6 +18,7 @@
     public static final class Asked implements Link {
         private final String remote;
         private final List<Object> letters = new ArrayList<>();
+        private boolean open = true;
 
         Asked(final String remote) {
             this.remote = remote;
@@ -39,12 +40,12 @@
 
         @Override
         public void close() {
-            throw new IllegalStateException("closed: " + remote);
+            open = false;
         }
 
         @Override
         public boolean open() {
-            return true;
+            return open;
         }
 
         @Override
@@ -55,7 +56,7 @@
 
     @Override
     public Asked dial(final String address) {
-        return links.computeIfAbsent(address, Asked::new);
+        return links.compute(address, (key, known) -> known == null || !known.open ? new Asked(address) : known);
     }
 
     @Override
@@ -65,10 +66,15 @@
 
     @Override
     public void onClose(final Consumer<Link> handler) {
-        // These links stay open.
+        // Only the owner itself closes these links.
     }
 
     public void answer(final String from, final Object letter) {
-        handlers.get(letter.getClass()).accept(dial(from), letter);
+        answer(dial(from), letter);
+    }
+
+    /** On that very link, also on one that was closed: as it were still being read. */
+    public void answer(final Link on, final Object letter) {
+        handlers.get(letter.getClass()).accept(on, letter);
     }
 }
