--- a/src/test/java/yewjunction/ledger/ModelCheckTest.java
+++ b/src/test/java/yewjunction/ledger/ModelCheckTest.java
@@ -92,7 +92,7 @@
     @ParameterizedTest
     @CsvSource({
         "SYNC_SKIPPED, fresh3, 20, committed is durable",
-        "OLD_NAME_AFTER_WIPE, led3, 100, one leader a term",
+        "OLD_NAME_AFTER_WIPE, led3, 100, nothing committed is lost",
         "CLOSE_UNTOLD, led3, 20, it goes on"})
     void aPlantedFaultIsFoundByWalks(final ModelFault fault, final String name, final int seeds, final String invariant) {
         final ModelSetup setup = ModelSetup.named(name);
