Quota buckets use 35 % of the tolerated excess in place of 45 %

The bucket counts when a message is accepted, the window when it was sent, so what was held meanwhile adds to it. Change: the share, by about five messages in that window.

--- a/src/main/java/yewjunction/base/Limits.java
+++ b/src/main/java/yewjunction/base/Limits.java
@@ -209,8 +209,8 @@
     public static final long KEEP_SLACK_MS = 12_000;
     /** ms; how long an accepted or denied number is remembered: well above ResendS. */
     public static final long NUMBER_MS = 60_000;
-    /** shares of a quota's excess and slack: what a bucket uses, and what it holds at the start of a vault; the rest covers changes of the leader. */
-    public static final double QUOTA_SHARE = 0.45, QUOTA_SPARE = 0.4;
+    /** shares of a quota's excess and slack: what a bucket uses, and what it holds at the start of a vault; the rest covers changes of the leader and messages held for it. */
+    public static final double QUOTA_SHARE = 0.35, QUOTA_SPARE = 0.4;
     /** ms; what a vault applies so soon after its start is its own log again. */
     public static final long QUOTA_REPLAY_MS = 1_500;
     /** ms; pace of dropping old messages and numbers. */
