--- a/src/test/java/yewjunction/ledger/LedgerSim.java
+++ b/src/test/java/yewjunction/ledger/LedgerSim.java
@@ -17,6 +17,7 @@
 
 /** Three members on simulated machines, a steady load, and what must hold at every moment. */
 class LedgerSim {
+    static final List<String> SPARES = List.of("a:2", "a:3", "b:2", "d:1", "d:2");
     final List<String> addresses = List.of("a:1", "b:1", "c:1");
     final Map<String, Ledger> ledgers = new TreeMap<>();
     final Map<String, Tale> tales = new HashMap<>();
@@ -124,6 +125,14 @@
         });
     }
 
+    /** Members without a vote, in zones with a voter and without one; served for a while. */
+    void beginWithSpares(final long seed) {
+        begin(seed);
+        assertTrue(world.runUntil(() -> acknowledged.size() > 50, 10_000));
+        SPARES.forEach(spare -> boot(spare, false));
+        world.runFor(3_000);
+    }
+
     Ledger leader() {
         return ledgers.values().stream().filter(one -> world.host(Ledger.address(one.identity())).up() && one.leads())
             .findFirst().orElse(null);
--- a/src/test/java/yewjunction/ledger/RelaySimTest.java
+++ b/src/test/java/yewjunction/ledger/RelaySimTest.java
@@ -11,15 +11,6 @@
 
 /** Members without a vote learn from their zone, whoever of it fails. */
 class RelaySimTest extends LedgerSim {
-    private static final List<String> SPARES = List.of("a:2", "a:3", "b:2", "d:1", "d:2");
-
-    private void beginWithSpares(final long seed) {
-        begin(seed);
-        assertTrue(world.runUntil(() -> acknowledged.size() > 50, 10_000));
-        SPARES.forEach(spare -> boot(spare, false));
-        world.runFor(3_000);
-    }
-
     private String relay(final String address) {
         return leader().leading.standings.get(ledgers.get(address).identity()).relay;
     }
--- a/src/test/java/yewjunction/ledger/RelayTermsTest.java
+++ b/src/test/java/yewjunction/ledger/RelayTermsTest.java
@@ -15,15 +15,6 @@
 
 /** A member that learns of a term by entries that were handed on takes nothing more from the leader of an earlier one. */
 class RelayTermsTest extends LedgerSim {
-    private static final List<String> SPARES = List.of("a:2", "a:3", "b:2", "d:1", "d:2");
-
-    private void beginWithSpares(final long seed) {
-        begin(seed);
-        assertTrue(world.runUntil(() -> acknowledged.size() > 50, 10_000));
-        SPARES.forEach(spare -> boot(spare, false));
-        world.runFor(3_000);
-    }
-
     /** What stands behind the end, after an entry of the next term was handed on, and then a former leader's append came. */
     private long termAfterALateAppend(final boolean named) {
         beginWithSpares(1);
