--- a/review/stand-in/Fleet.java
+++ b/review/stand-in/Fleet.java
@@ -49,12 +49,7 @@
 
   Fleet(final Path root, final Path recordFile) throws IOException {
     this.root = root;
-    // In memory where that is possible: a shared disk's syncs are too uneven for a steady pace.
-    final Path memory = Path.of("/dev/shm");
-    folder =
-        Files.isDirectory(memory) && Files.isWritable(memory)
-            ? Files.createTempDirectory(memory, "review")
-            : Files.createTempDirectory("review");
+    folder = Files.createTempDirectory("review");
     record = new PrintWriter(Files.newBufferedWriter(recordFile), true);
     port = freePort();
     Runtime.getRuntime().addShutdownHook(new Thread(this::killAll));
--- a/review/stand-in/ReplayFlood.java
+++ b/review/stand-in/ReplayFlood.java
@@ -64,7 +64,7 @@
       fleet.kill(first);
     }
     final Map<String, Integer> ends = new TreeMap<>();
-    while (fleet.ms() < killedMs + 95_000) {
+    while (fleet.ms() < killedMs + 72_000) {
       Thread.sleep(250);
       if (down && fleet.ms() - killedMs >= DARK_MS) {
         down = false;
@@ -148,7 +148,7 @@
     while (running) {
       if (attempt > 0) {
         // Within ReattachS, and longer after failures.
-        pause(Math.min(8_000, (1_000 + random.nextInt(1_000)) << Math.min(3, failures)));
+        pause(Math.min(4_000, (1_000 + random.nextInt(1_000)) << Math.min(3, failures)));
       }
       failures++;
       try (Client client = new Client(fleet, place(me, attempt++))) {
