--- a/review/stand-in/LargeBodies.java
+++ b/review/stand-in/LargeBodies.java
@@ -236,10 +236,16 @@
         }
         final String cursor = SAVED.get(topic);
         client.send("SUB " + topic + (cursor == null ? "" : " " + cursor));
+        long pingMs = fleet.ms();
         while (sending) {
-          final Client.Line line = client.next(1_500);
-          if (line == null) {
+          // It has said nothing for PingS: it sends PING, whatever it receives.
+          if (fleet.ms() - pingMs >= 2_000) {
             client.send("PING");
+            pingMs = fleet.ms();
+          }
+          final Client.Line line = client.next(500);
+          if (line == null) {
+            continue;
           } else if (line.text().equals("CLOSED") || line.text().startsWith("REFUSE SUB")) {
             break;
           } else if (line.text().startsWith("MSG ") || line.text().startsWith("OK SUB")) {
