Event 605: a store says up to where, at what age and after what retention it dropped

A subscription that can't be taken up was logged at its edge alone (809), with the client's position. That doesn't tell a store that dropped messages too early from one that never had them or from a wrong cursor. The store now says why: up to which index the topic's messages were dropped, how old the last one was and for how long it was kept.

--- a/src/main/java/yewjunction/fanout/StreamServer.java
+++ b/src/main/java/yewjunction/fanout/StreamServer.java
@@ -140,7 +140,7 @@
     response.requestId = request.requestId;
     response.position = Math.max(request.position, raftNode.appliedIndex());
     if (request.position >= 0) {
-      addMessages(response, request.topic, request.position, response.position);
+      addMessages(edge, response, request.topic, request.position, response.position);
     }
     connection.send(response);
   }
@@ -149,9 +149,23 @@
    * Adds messages up to a bounded size; the edge asks for the next chunk when it has room for it.
    */
   private void addMessages(
-      final ReplayResponse response, final String topic, final long after, final long upTo) {
+      final AttachedEdge edge,
+      final ReplayResponse response,
+      final String topic,
+      final long after,
+      final long upTo) {
     final List<StoredMessage> behind = messageStore.messagesAfter(topic, after);
     response.expired = behind == null;
+    if (response.expired) {
+      LogEvent.REPLAY_EXPIRED.info(
+          edge.node
+              + ": "
+              + topic
+              + " after "
+              + after
+              + ", "
+              + messageStore.describeDropped(topic));
+    }
     int bytes = 0;
     for (final StoredMessage message : behind == null ? List.<StoredMessage>of() : behind) {
       if (message.index <= upTo) {
@@ -166,7 +180,8 @@
   }
 
   private void onReplayRequest(final PeerConnection connection, final ReplayRequest request) {
-    if (!attachedEdges.containsKey(connection)) {
+    final AttachedEdge edge = attachedEdges.get(connection);
+    if (edge == null) {
       return;
     }
     // The index was named by another store that was ahead of this one: answered once as much is
@@ -179,7 +194,7 @@
     final ReplayResponse response = new ReplayResponse();
     response.requestId = request.requestId;
     response.position = request.throughIndex;
-    addMessages(response, request.topic, request.afterIndex, request.throughIndex);
+    addMessages(edge, response, request.topic, request.afterIndex, request.throughIndex);
     connection.send(response);
   }
 
--- a/src/main/java/yewjunction/store/MessageStore.java
+++ b/src/main/java/yewjunction/store/MessageStore.java
@@ -45,6 +45,11 @@
   private static final class TopicMessages {
     final ArrayDeque<StoredMessage> messages = new ArrayDeque<>();
     long lastDroppedIndex;
+
+    /** For the log: how old the last one was, and how long it was kept; 0 when not known. */
+    long lastDroppedAgeMs;
+
+    long lastDroppedRetentionMs;
   }
 
   /** The whole state, as a snapshot holds it; encoded by position. */
@@ -153,6 +158,20 @@
     return found;
   }
 
+  /** For the log: up to where a topic's messages were dropped, and why. */
+  public String describeDropped(final String topic) {
+    final TopicMessages topicMessages = byTopic.get(topic);
+    return topicMessages == null
+        ? "nothing was dropped"
+        : "dropped through "
+            + topicMessages.lastDroppedIndex
+            + ", "
+            + topicMessages.lastDroppedAgeMs
+            + " ms old, kept for "
+            + topicMessages.lastDroppedRetentionMs
+            + " ms";
+  }
+
   /** The index of the last message that was dropped. */
   public long lastDroppedIndex() {
     return lastDroppedIndex;
@@ -174,6 +193,8 @@
             final StoredMessage dropped = topicMessages.messages.poll();
             byIndex.remove(dropped.index);
             topicMessages.lastDroppedIndex = dropped.index;
+            topicMessages.lastDroppedAgeMs = nowMs - dropped.receivedMs;
+            topicMessages.lastDroppedRetentionMs = keepMs;
             lastDroppedIndex = Math.max(lastDroppedIndex, dropped.index);
           }
         });
