A message is kept for the longest retention its topic had, not for the newest version's

One version removed the route, another added it again two seconds later.

Cause: each second MessageStore.dropExpired asked the newest configuration alone how long messages are kept. Without the route that was 0 s and the slack of 12 s, so all older messages were dropped for good. A removal ends subscriptions; what was acknowledged before it stays owed. A LingerS lowered for a moment, and a more specific route, did the same.

Change: the edge writes the route's retention into the message (StoredMessage.retentionS, a field at the end: one byte and a tag), stores raise it when a configuration keeps the topic for longer and never lower it, and TopicMessages drops by it. Entries of earlier releases have no retention; they are kept as long as the longest of any route. A topic's messages are now a class of their own, and the lookup of a route for each topic each second is gone.

--- a/src/main/java/yewjunction/control/Configuration.java
+++ b/src/main/java/yewjunction/control/Configuration.java
@@ -273,6 +273,11 @@
     return Collections.unmodifiableCollection(routes);
   }
 
+  /** Milliseconds: of all routes the longest retention, 0 without routes. */
+  public long longestRetentionMs() {
+    return routes.stream().mapToLong(Route::retentionMs).max().orElse(0);
+  }
+
   /** How many topics a client may subscribe to on one connection. */
   public int maxSubscriptions() {
     return maxSubscriptions;
--- a/src/main/java/yewjunction/gateway/PublishForwarder.java
+++ b/src/main/java/yewjunction/gateway/PublishForwarder.java
@@ -82,6 +82,7 @@
     message.sequenceNumber = number;
     message.body = body;
     message.tenant(tenant);
+    message.retainFor(route.retentionMs());
     final PendingPublish publish =
         new PendingPublish(++newestRequestId, session, message, tenant, context.nowMs(), route);
     publish.maybeSent = !firstTry;
--- a/src/main/java/yewjunction/store/MessageStore.java
+++ b/src/main/java/yewjunction/store/MessageStore.java
@@ -1,13 +1,11 @@
 package yewjunction.store;
 
 import static yewjunction.limits.QuotaLimits.RETENTION_CHECK_INTERVAL_MS;
-import static yewjunction.limits.QuotaLimits.RETENTION_SLACK_MS;
 
 import io.protostuff.LinkedBuffer;
 import io.protostuff.ProtostuffIOUtil;
 import io.protostuff.Schema;
 import io.protostuff.runtime.RuntimeSchema;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -23,7 +21,7 @@
 /**
  * The stored messages of one store, the state machine that the log of the stores drives. A
  * message's index in the log is its position in its topic, and the cursor that clients hold.
- * Messages are dropped once their route's retention is over.
+ * Messages are dropped once the longest retention that their topic had in their time is over.
  *
  * <p>All calls on the agent's thread.
  */
@@ -41,16 +39,8 @@
   private Configuration configuration;
   private long lastDroppedIndex;
 
-  /** A topic's messages and the index of the last one dropped. */
-  private static final class TopicMessages {
-    final ArrayDeque<StoredMessage> messages = new ArrayDeque<>();
-    long lastDroppedIndex;
-
-    /** For the log: how old the last one was, and how long it was kept; 0 when not known. */
-    long lastDroppedAgeMs;
-
-    long lastDroppedRetentionMs;
-  }
+  /** Of all routes of all configurations seen since the start. */
+  private long longestRetentionMs;
 
   /** The whole state, as a snapshot holds it; encoded by position. */
   static final class Snapshot {
@@ -105,6 +95,8 @@
   public void setConfiguration(final Configuration newConfiguration) {
     configuration = newConfiguration;
     rateLimiter.setConfiguration(newConfiguration);
+    longestRetentionMs = Math.max(longestRetentionMs, newConfiguration.longestRetentionMs());
+    byTopic.forEach((topic, messages) -> messages.setRouteRetention(routeRetentionMs(topic)));
   }
 
   static byte[] encode(final StoredMessage message) {
@@ -132,7 +124,17 @@
 
   private void put(final StoredMessage message) {
     byIndex.put(message.index, message);
-    byTopic.computeIfAbsent(message.topic, key -> new TopicMessages()).messages.add(message);
+    messagesOf(message.topic).add(message);
+  }
+
+  private TopicMessages messagesOf(final String topic) {
+    return byTopic.computeIfAbsent(topic, key -> new TopicMessages(routeRetentionMs(key)));
+  }
+
+  /** What the newest configuration says; 0 for a topic without a route. */
+  private long routeRetentionMs(final String topic) {
+    final Configuration.Route route = configuration == null ? null : configuration.routeOf(topic);
+    return route == null ? 0 : route.retentionMs();
   }
 
   /** The messages with an index above the first and up to the second argument, in order. */
@@ -143,33 +145,13 @@
   /** A topic's messages after a position, or null when one of them has been dropped. */
   public List<StoredMessage> messagesAfter(final String topic, final long position) {
     final TopicMessages topicMessages = byTopic.get(topic);
-    if (topicMessages == null) {
-      return List.of();
-    }
-    if (topicMessages.lastDroppedIndex > position) {
-      return null;
-    }
-    final List<StoredMessage> found = new ArrayList<>();
-    for (final StoredMessage message : topicMessages.messages) {
-      if (message.index > position) {
-        found.add(message);
-      }
-    }
-    return found;
+    return topicMessages == null ? List.of() : topicMessages.after(position);
   }
 
   /** For the log: up to where a topic's messages were dropped, and why. */
   public String describeDropped(final String topic) {
     final TopicMessages topicMessages = byTopic.get(topic);
-    return topicMessages == null
-        ? "nothing was dropped"
-        : "dropped through "
-            + topicMessages.lastDroppedIndex
-            + ", "
-            + topicMessages.lastDroppedAgeMs
-            + " ms old, kept for "
-            + topicMessages.lastDroppedRetentionMs
-            + " ms";
+    return topicMessages == null ? "nothing was dropped" : topicMessages.describeDropped();
   }
 
   /** The index of the last message that was dropped. */
@@ -185,28 +167,19 @@
   private void dropExpired() {
     final long nowMs = context.nowMs();
     acceptedNumbers.removeExpired(nowMs);
-    byTopic.forEach(
-        (topic, topicMessages) -> {
-          final long keepMs = retentionMs(topic);
-          while (!topicMessages.messages.isEmpty()
-              && nowMs - topicMessages.messages.peek().receivedMs > keepMs) {
-            final StoredMessage dropped = topicMessages.messages.poll();
-            byIndex.remove(dropped.index);
-            topicMessages.lastDroppedIndex = dropped.index;
-            topicMessages.lastDroppedAgeMs = nowMs - dropped.receivedMs;
-            topicMessages.lastDroppedRetentionMs = keepMs;
-            lastDroppedIndex = Math.max(lastDroppedIndex, dropped.index);
-          }
-        });
+    // Without a configuration nothing may be dropped: how long messages are kept is not known.
+    if (configuration != null) {
+      byTopic.values().forEach(messages -> dropExpired(messages, nowMs));
+    }
   }
 
-  private long retentionMs(final String topic) {
-    final Configuration.Route route = configuration == null ? null : configuration.routeOf(topic);
-    // Without a configuration nothing may be dropped; messages of a route that was removed are owed
-    // to nobody.
-    return configuration == null
-        ? Long.MAX_VALUE
-        : (route == null ? 0 : route.retentionMs()) + RETENTION_SLACK_MS;
+  private void dropExpired(final TopicMessages messages, final long nowMs) {
+    StoredMessage dropped = messages.dropOldestExpired(nowMs, longestRetentionMs);
+    while (dropped != null) {
+      byIndex.remove(dropped.index);
+      lastDroppedIndex = Math.max(lastDroppedIndex, dropped.index);
+      dropped = messages.dropOldestExpired(nowMs, longestRetentionMs);
+    }
   }
 
   @Override
@@ -218,10 +191,10 @@
     snapshot.accounts = accounts.snapshot();
     byTopic.forEach(
         (topic, topicMessages) -> {
-          if (topicMessages.lastDroppedIndex > 0) {
+          if (topicMessages.lastDroppedIndex() > 0) {
             final TopicFloor one = new TopicFloor();
             one.topic = topic;
-            one.lastDroppedIndex = topicMessages.lastDroppedIndex;
+            one.lastDroppedIndex = topicMessages.lastDroppedIndex();
             snapshot.floors.add(one);
           }
         });
@@ -241,9 +214,7 @@
       put(message);
     }
     snapshot.floors.forEach(
-        one ->
-            byTopic.computeIfAbsent(one.topic, key -> new TopicMessages()).lastDroppedIndex =
-                one.lastDroppedIndex);
+        one -> messagesOf(one.topic).restoreLastDroppedIndex(one.lastDroppedIndex));
     acceptedNumbers.restore(snapshot.senderHistories, nowMs);
     accounts.restore(snapshot.accounts, nowMs);
     rateLimiter.capAfterRestore();
--- a/src/test/java/yewjunction/store/StoreStateFixture.java
+++ b/src/test/java/yewjunction/store/StoreStateFixture.java
@@ -41,6 +41,11 @@
   }
 
   static MessageStore store() {
+    return store(new StoppedClock());
+  }
+
+  /** An empty store on that clock. */
+  static MessageStore store(final AgentContext context) {
     final Settings settings =
         SettingsBuilder.settings("n", "store", "10.0.0.1")
             .withoutListeners()
@@ -48,7 +53,7 @@
             .diskMb(0)
             .build();
     return new MessageStore(
-        new StoppedClock(),
+        context,
         new MessageStore.Listener() {
           @Override
           public boolean isAdmittedHere(final StoredMessage message) {
--- a/src/test/java/yewjunction/store/StoreWireFormatTest.java
+++ b/src/test/java/yewjunction/store/StoreWireFormatTest.java
@@ -8,7 +8,7 @@
 
 /**
  * The bytes of the messages about admission, of stored messages and of the store's snapshot are
- * those of release 0.1.0.
+ * those of release 0.1.0; a message's retention came later and stands behind all else.
  */
 class StoreWireFormatTest {
   private static BorrowingTerms terms() {
@@ -58,6 +58,9 @@
   void storedMessagesAndSnapshotsKeepTheirBytes() {
     final Map<String, byte[]> examples = new LinkedHashMap<>();
     examples.put("message", MessageStore.encode(message(3)));
+    final StoredMessage retained = message(3);
+    retained.retainFor(34_001);
+    examples.put("retained-message", MessageStore.encode(retained));
     final MessageStore store = StoreStateFixture.store();
     StoreStateFixture.apply(store, 1);
     examples.put("snapshot", store.snapshot());
--- /dev/null
+++ b/src/test/java/yewjunction/system/RouteChangeSimulationTest.java
@@ -0,0 +1,120 @@
+package yewjunction.system;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.LongStream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import yewjunction.membership.NodeRole;
+
+/**
+ * A space is taken away for a while, or its terms are lowered, while clients are away with their
+ * cursors and stores fail. Whoever returns gets all that was acknowledged before.
+ */
+class RouteChangeSimulationTest extends SystemSimulation {
+  private static final int LINGER_S = 35;
+
+  /** ms; when clients return: what they lack is then younger than the space keeps messages. */
+  private static final int RETURN_MS = 30_000;
+
+  /** ms; from a version's acknowledgement until every edge serves by it. */
+  private static final int APPLY_MS = 3_000;
+
+  private static final String OTHER_SPACE = SimulatedCluster.route("s.");
+  private static final String SPACE = SimulatedCluster.route("v.", LINGER_S);
+  private static final String TENANTS = SimulatedCluster.tenant("t", "key", 1_000);
+
+  private final List<SimulatedClient> readers = new ArrayList<>();
+  private final List<SimulatedClient> senders = new ArrayList<>();
+
+  /** The first ones in CI; more by hand: mvn test -Droutes.worlds=COUNT. */
+  static LongStream seeds() {
+    return LongStream.rangeClosed(1, Long.getLong("routes.worlds", 18));
+  }
+
+  private void begin(final long seed) {
+    open(seed, TENANTS);
+    cluster.configure(OTHER_SPACE + "," + SPACE, TENANTS);
+    cluster.network.runFor(APPLY_MS);
+    for (int i = 0; i < 6; i++) {
+      final SimulatedClient client =
+          new SimulatedClient(cluster, checker, "c" + i, "zone" + (1 + i % 3), "key");
+      (i < 3 ? readers : senders).add(client);
+      if (i < 3) {
+        client.subscribe("v.t0");
+        client.subscribe("v.t" + (1 + i % 2));
+      }
+    }
+    cluster.network.runFor(1_500);
+  }
+
+  /** Messages that the readers, who are away, are owed. */
+  private void publishWhileReadersAreAway() {
+    readers.forEach(SimulatedClient::leave);
+    for (int i = 0; i < 60; i++) {
+      senders.get(i % senders.size()).publish("v.t" + i % 3);
+      cluster.network.runFor(20);
+    }
+    cluster.network.runFor(800);
+    senders.forEach(sender -> assertEquals(0, sender.open.size(), "unanswered"));
+  }
+
+  /** Routes under which the space is gone, or keeps messages for a second only. */
+  private String changedRoutes() {
+    return switch (cluster.network.random.nextInt(3)) {
+      case 0 -> OTHER_SPACE + "," + SimulatedCluster.route("v.", 1);
+      case 1 -> OTHER_SPACE + "," + SPACE + "," + SimulatedCluster.route("v.t", 1);
+      default -> OTHER_SPACE;
+    };
+  }
+
+  /** What happens to the stores while the space is gone. */
+  private void fail() {
+    final List<String> stores = cluster.all(NodeRole.STORE);
+    final String store = stores.get(cluster.network.random.nextInt(stores.size()));
+    switch (cluster.network.random.nextInt(6)) {
+      case 0 -> stores.forEach(cluster::kill);
+      case 1 -> cluster.nodes.keySet().forEach(cluster::powerOff);
+      case 2 -> {
+        cluster.powerOff(store);
+        cluster.network.host(store).wipe();
+      }
+      case 3 -> cluster.stop(cluster.leadingStore());
+      case 4 -> cluster.kill(store);
+      default -> {
+        // The change alone must lose nothing either.
+      }
+    }
+    cluster.network.runFor(500 + cluster.network.random.nextInt(1_000));
+    cluster.bootAll();
+  }
+
+  /**
+   * Guards against: a space that was removed for two seconds had lost what it had kept, and clients
+   * that returned were told EXPIRED.
+   */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void whoWasAwayWhileTheSpaceWasGoneGetsWhatWasKept(final long seed) {
+    begin(seed);
+    final long startMs = cluster.network.nowMs();
+    publishWhileReadersAreAway();
+    cluster.network.runFor(cluster.network.random.nextInt(15_000));
+    cluster.configure(changedRoutes(), TENANTS);
+    fail();
+    final long untilReturnMs = startMs + RETURN_MS - APPLY_MS - cluster.network.nowMs();
+    cluster.network.runFor(
+        untilReturnMs / 2 + cluster.network.random.nextInt((int) untilReturnMs / 2));
+    cluster.configure(OTHER_SPACE + "," + SPACE, TENANTS);
+    cluster.network.runFor(Math.max(APPLY_MS, startMs + RETURN_MS - cluster.network.nowMs()));
+    readers.forEach(SimulatedClient::comeBack);
+    cluster.network.runFor(LINGER_S * 1_000 - RETURN_MS - 1_000);
+    assertEquals(List.of(), checker.expired);
+    settle();
+    assertEquals(List.of(), checker.expired);
+    assertTrue(checker.owed >= 100, "owed " + checker.owed);
+  }
+}
--- a/src/test/java/yewjunction/system/SimulatedClient.java
+++ b/src/test/java/yewjunction/system/SimulatedClient.java
@@ -26,6 +26,7 @@
   private long numbers;
   private long heardMs;
   private boolean greeted;
+  private boolean away;
 
   SimulatedClient(
       final SimulatedCluster cluster,
@@ -79,6 +80,16 @@
     }
   }
 
+  /** Closes its connection and stays away, with its cursors, until it returns. */
+  void leave() {
+    away = true;
+    cut();
+  }
+
+  void comeBack() {
+    away = false;
+  }
+
   /** Reads nothing for a while; what comes piles up at the edge. */
   void stall(final long forMs) {
     stalledUntilMs = cluster.network.nowMs() + forMs;
@@ -97,7 +108,7 @@
     } else if (wire != null && nowMs - heardMs > 1_000) {
       wire.receive("PING\r\n");
     }
-    if (wire == null) {
+    if (wire == null && !away) {
       List<String> ready = cluster.readyEdges(zone);
       ready = ready.isEmpty() ? cluster.readyEdges(null) : ready;
       if (!ready.isEmpty()) {
--- a/src/test/java/yewjunction/system/SimulatedCluster.java
+++ b/src/test/java/yewjunction/system/SimulatedCluster.java
@@ -260,11 +260,18 @@
   }
 
   static String route(final String prefix) {
+    return route(prefix, 35);
+  }
+
+  /** A space that keeps messages for so many seconds. */
+  static String route(final String prefix, final int lingerS) {
     return "{\"Name\":\"r-"
         + prefix
         + "\",\"Host\":\"\",\"Pfx\":\""
         + prefix
-        + "\",\"Type\":\"kept\",\"TimeoutMs\":1500,\"LingerS\":35.0,\"Fifo\":\"topic\",\"Public\":false}";
+        + "\",\"Type\":\"kept\",\"TimeoutMs\":1500,\"LingerS\":"
+        + lingerS
+        + ".0,\"Fifo\":\"topic\",\"Public\":false}";
   }
 
   static String tenant(final String name, final String key, final int perSecond) {
