A token bucket continues from an account that ends, also while its tenant is gone

Cause: TenantRateLimiter.continueFrom looked the tenant up in the configuration, which no longer had it, so what the account held was written nowhere. A leader told the bucket only once the end was applied, so a removal and a return that were under way at once had the same effect, and a tenant that stopped borrowing had its full bucket until then.

Change: the bucket continues from the account in any case, and at the leader from the proposal on; the end is recognised by its log time when it comes by the log, and what was only proposed is forgotten with the leadership.

--- a/src/main/java/yewjunction/store/BorrowingAccounts.java
+++ b/src/main/java/yewjunction/store/BorrowingAccounts.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.function.BiConsumer;
 import yewjunction.common.LogEvent;
 import yewjunction.control.AccountBalance;
 
@@ -27,14 +26,29 @@
 
   private long stampReceivedMs;
 
-  /**
-   * Called for an account that ends, with what it held; null in the leader's copy, which also logs
-   * nothing.
-   */
-  private final BiConsumer<String, Long> onAccountEnded;
+  private final EndListener endListener;
+
+  /** False for the leader's copy: what it runs ahead with is logged once it is applied. */
+  private final boolean logsEvents;
+
+  /** Is told of each account that ends, by the log and by the leader's copy ahead of it. */
+  interface EndListener {
+    /**
+     * The tenant has no account from now on.
+     *
+     * @param thousandths tokens that the account held
+     * @param endedMs log time of the end
+     */
+    void onAccountEnded(String tenant, long thousandths, long endedMs);
+  }
+
+  BorrowingAccounts(final EndListener endListener) {
+    this(endListener, true);
+  }
 
-  BorrowingAccounts(final BiConsumer<String, Long> ended) {
-    this.onAccountEnded = ended;
+  private BorrowingAccounts(final EndListener endListener, final boolean logsEvents) {
+    this.endListener = endListener;
+    this.logsEvents = logsEvents;
   }
 
   /** The state as a snapshot holds it; encoded by position. */
@@ -71,7 +85,7 @@
 
   /** A copy for the leader, to which it applies at once what it proposes. */
   BorrowingAccounts copyForLeader() {
-    final BorrowingAccounts copy = new BorrowingAccounts(null);
+    final BorrowingAccounts copy = new BorrowingAccounts(endListener, false);
     byTenant.forEach((tenant, account) -> copy.byTenant.put(tenant, account.copy()));
     copy.version = version;
     copy.stampMs = stampMs;
@@ -109,9 +123,9 @@
   }
 
   private void logDebtChange(final BorrowingAccount account, final long before) {
-    if (onAccountEnded != null && before == 0 && account.debt > 0) {
+    if (logsEvents && before == 0 && account.debt > 0) {
       LogEvent.BORROWING_STARTED.info(account.terms.tenant + " at " + account.lastIndex);
-    } else if (onAccountEnded != null && before > 0 && account.debt == 0) {
+    } else if (logsEvents && before > 0 && account.debt == 0) {
       LogEvent.DEBT_REPAID.info(
           account.terms.tenant
               + " at "
@@ -156,9 +170,7 @@
     for (final BorrowingAccount account : new ArrayList<>(byTenant.values())) {
       if (!named.contains(account.terms.tenant) && account.debt == 0) {
         byTenant.remove(account.terms.tenant);
-        if (onAccountEnded != null) {
-          onAccountEnded.accept(account.terms.tenant, account.tokens);
-        }
+        endListener.onAccountEnded(account.terms.tenant, account.tokens, atMs);
       }
     }
   }
--- a/src/main/java/yewjunction/store/MessageStore.java
+++ b/src/main/java/yewjunction/store/MessageStore.java
@@ -87,7 +87,8 @@
     this.listener = listener;
     accounts =
         new BorrowingAccounts(
-            (tenant, tokens) -> rateLimiter.continueFrom(tenant, tokens, context.nowMs()));
+            (tenant, thousandths, endedMs) ->
+                rateLimiter.continueFrom(tenant, thousandths, endedMs, context.nowMs()));
     context.scheduleAtFixedRate(RETENTION_CHECK_INTERVAL_MS, this::dropExpired);
   }
 
--- a/src/main/java/yewjunction/store/QuotaBorrowing.java
+++ b/src/main/java/yewjunction/store/QuotaBorrowing.java
@@ -161,6 +161,7 @@
    * applied.
    */
   void onLeaderChange() {
+    messageStore.rateLimiter.onLeaderChange();
     accountsAhead = null;
     waitingByTenant.clear();
     atLimit.clear();
--- a/src/main/java/yewjunction/store/TenantRateLimiter.java
+++ b/src/main/java/yewjunction/store/TenantRateLimiter.java
@@ -27,6 +27,9 @@
   private static final class TokenBucket {
     double tokens;
     long refilledMs;
+
+    /** Log time of the account's end that it continues from; 0 for none. */
+    long continuedFromMs;
   }
 
   /**
@@ -105,14 +108,28 @@
     return terms;
   }
 
-  /** The tenant's account has ended: its bucket continues with what the account held. */
-  void continueFrom(final String tenantName, final long thousandths, final long nowMs) {
-    final TokenBucket bucket = refill(tenantName, nowMs);
-    if (bucket != null) {
-      bucket.tokens = Math.min(bucket.tokens, (double) thousandths / BorrowingAccount.THOUSANDTHS);
+  /**
+   * The tenant's account has ended: its bucket continues with what the account held, also while the
+   * configuration lacks the tenant, which may be back within the window. A leader learns of one end
+   * twice, when it proposes it and when it is applied: only the first time counts.
+   *
+   * @param endedMs log time of the end, by which it is recognised
+   */
+  void continueFrom(
+      final String tenantName, final long thousandths, final long endedMs, final long nowMs) {
+    final TokenBucket bucket = buckets.computeIfAbsent(tenantName, key -> new TokenBucket());
+    if (endedMs > bucket.continuedFromMs) {
+      bucket.continuedFromMs = endedMs;
+      bucket.tokens = (double) thousandths / BorrowingAccount.THOUSANDTHS;
+      bucket.refilledMs = nowMs;
     }
   }
 
+  /** Ends of accounts that were only proposed are the log's matter now, and count when applied. */
+  void onLeaderChange() {
+    buckets.values().forEach(bucket -> bucket.continuedFromMs = 0);
+  }
+
   /** Caps all buckets after a snapshot, since its messages were not counted here. */
   void capAfterRestore() {
     buckets.forEach(
--- a/src/test/java/yewjunction/store/TenantRateLimiterTest.java
+++ b/src/test/java/yewjunction/store/TenantRateLimiterTest.java
@@ -79,4 +79,74 @@
     }
     assertEquals(0, denied);
   }
+
+  /** Tokens that an account would start with. */
+  private static double tokens(final TenantRateLimiter rateLimiter, final long nowMs) {
+    return (double) rateLimiter.borrowingTerms(CHARTER.tenant("t"), nowMs).firstTokens
+        / BorrowingAccount.THOUSANDTHS;
+  }
+
+  private static void removeTenant(final TenantRateLimiter rateLimiter) {
+    rateLimiter.setConfiguration(Configuration.read("{\"Ver\":2}"));
+  }
+
+  /** Guards against: what an account held at its end was forgotten while its tenant was gone. */
+  @Test
+  void aTenantThatIsRemovedContinuesWithWhatItsAccountHeld() {
+    final TenantRateLimiter rateLimiter = quotas(0);
+    assertEquals(30 + 0.35 * 38, tokens(rateLimiter, 20_000), 0.001);
+    removeTenant(rateLimiter);
+    rateLimiter.continueFrom("t", 2L * BorrowingAccount.THOUSANDTHS, 7_000, 21_000);
+    rateLimiter.setConfiguration(CHARTER);
+    // Two tokens, and half a second of the rate.
+    assertEquals(17, tokens(rateLimiter, 21_500), 0.001);
+  }
+
+  /** Guards against: the same at a store that has no bucket, since another one led. */
+  @Test
+  void aStoreThatNeverCountedForItContinuesTooWithWhatItsAccountHeld() {
+    final TenantRateLimiter rateLimiter = quotas(0);
+    removeTenant(rateLimiter);
+    rateLimiter.continueFrom("t", 0, 7_000, 21_000);
+    rateLimiter.setConfiguration(CHARTER);
+    assertEquals(0, tokens(rateLimiter, 21_000), 0.001);
+  }
+
+  /** Guards against: an end that comes by the log takes back what was spent since the proposal. */
+  @Test
+  void anEndThatIsToldTwiceCountsOnce() {
+    final TenantRateLimiter rateLimiter = quotas(0);
+    rateLimiter.continueFrom("t", 2L * BorrowingAccount.THOUSANDTHS, 7_000, 21_000);
+    assertTrue(rateLimiter.tryAcquire("t", 21_000));
+    rateLimiter.continueFrom("t", 2L * BorrowingAccount.THOUSANDTHS, 7_000, 21_000);
+    assertEquals(1, tokens(rateLimiter, 21_000), 0.001);
+    rateLimiter.continueFrom("t", 5L * BorrowingAccount.THOUSANDTHS, 8_000, 21_000);
+    assertEquals(5, tokens(rateLimiter, 21_000), 0.001);
+  }
+
+  /** Guards against: an end that was proposed and lost hides a real one of an earlier log time. */
+  @Test
+  void anEndThatWasOnlyProposedIsForgottenWithItsLeader() {
+    final TenantRateLimiter rateLimiter = quotas(0);
+    rateLimiter.continueFrom("t", 9L * BorrowingAccount.THOUSANDTHS, 7_000, 21_000);
+    rateLimiter.onLeaderChange();
+    rateLimiter.continueFrom("t", 2L * BorrowingAccount.THOUSANDTHS, 6_900, 21_000);
+    assertEquals(2, tokens(rateLimiter, 21_000), 0.001);
+  }
+
+  /** Guards against: a removal and a return within one round through the log gave a full bucket. */
+  @Test
+  void theLeaderContinuesFromAnAccountThatItHasOnlyProposedToEnd() {
+    final MessageStore store = StoreStateFixture.store();
+    store.setConfiguration(CHARTER);
+    store.apply(1, StoreStateFixture.commands().get(0));
+    final BorrowingTerms.TermsChange end = new BorrowingTerms.TermsChange();
+    end.version = 4;
+    store.accounts.copyForLeader().applyTerms(0, end, 1_000);
+    store.setConfiguration(
+        Configuration.read(
+            "{\"Ver\":5,\"Tenants\":[{\"Name\":\"t1\",\"RatePerS\":30,\"Burst\":30}]}"));
+    // The account was given less than a whole message; a bucket starts with more.
+    assertFalse(store.rateLimiter.tryAcquire("t1", 5_000));
+  }
 }
--- a/src/test/java/yewjunction/system/BorrowingSimulationTest.java
+++ b/src/test/java/yewjunction/system/BorrowingSimulationTest.java
@@ -235,6 +235,53 @@
     repaid();
   }
 
+  /** Each rushing client sends so many messages, and all are answered before this returns. */
+  private void rushAtOnce(final int messagesOfEach) {
+    for (int i = 0; i < messagesOfEach; i++) {
+      cluster.clients.stream()
+          .filter(client -> client.key.equals("key"))
+          .forEach(client -> client.publish("s.rush"));
+      cluster.network.runFor(10);
+    }
+    assertTrue(
+        cluster.network.runUntil(
+            () -> cluster.clients.stream().allMatch(client -> client.open.isEmpty()), 2_000),
+        "unanswered");
+  }
+
+  /**
+   * Guards against: a borrower that owed nothing, was removed and made again two seconds later, got
+   * its whole burst a second time within one window.
+   */
+  @ParameterizedTest
+  @ValueSource(longs = {41, 42, 43, 44})
+  void aTenantMadeAgainGetsNoSecondBurst(final long seed) {
+    final int burst = 300;
+    final int borrowMax = 10;
+    final int windowMs = 5_000;
+    begin(seed, false);
+    quiet = true;
+    final String wide =
+        tenants(borrowMax, 0.5).replaceFirst("\"Burst\":" + RATE, "\"Burst\":" + burst);
+    final String without = SimulatedCluster.tenant("calm", "other", 1_000);
+    cluster.configure(SimulatedCluster.route("s."), wide);
+    // Long enough for a full bucket.
+    cluster.network.runFor(1_000L * burst / RATE + 5_000);
+    final long startMs = cluster.network.nowMs();
+    rushAtOnce(burst / 6);
+    cluster.configure(SimulatedCluster.route("s."), without);
+    cluster.network.runFor(1_000);
+    cluster.configure(SimulatedCluster.route("s."), wide);
+    cluster.network.runFor(1_000);
+    rushAtOnce(burst / 6);
+    final long acked = checker.ackedBetween(startMs, startMs + windowMs);
+    final double mostOfAWindow = (RATE * windowMs / 1_000 + burst) * 1.1 + 20;
+    assertTrue(acked >= burst, "acked only " + acked);
+    assertTrue(
+        acked <= mostOfAWindow + borrowMax,
+        acked + " acked, " + mostOfAWindow + " and what it may owe");
+  }
+
   /** Delays of the calm tenant's messages, sorted. */
   private List<Long> delays(final boolean anyRush) {
     begin(31, anyRush);
