A store counts messages that it applies after their tenant was removed

What callers would see (QUOTA): a tenant is removed while messages that the leader admitted are on their way; a store that has the new version already applies them without counting. If it leads next and the tenant is back within the window, that many may pass once more.

Change: the bucket that is there is charged.

Before: TenantRateLimiterTest.whatIsAppliedAfterItsTenantIsRemovedCounts failed (43.3 tokens for 3.3). After: passes.

--- a/src/main/java/yewjunction/store/TenantRateLimiter.java
+++ b/src/main/java/yewjunction/store/TenantRateLimiter.java
@@ -153,11 +153,17 @@
     return true;
   }
 
-  /** Counts a message that another leader admitted, in case this store leads later. */
+  /**
+   * Counts a message that another leader admitted, in case this store leads later; also where this
+   * store's configuration lacks the tenant already.
+   */
   void recordAcceptedElsewhere(final String tenantName, final long nowMs) {
-    // What is applied right after the start was counted before it.
-    final TokenBucket bucket =
-        nowMs - startMs < STARTUP_REPLAY_MS ? null : refill(tenantName, nowMs);
+    if (nowMs - startMs < STARTUP_REPLAY_MS) {
+      // What is applied right after the start was counted before it.
+      return;
+    }
+    final TokenBucket refilled = refill(tenantName, nowMs);
+    final TokenBucket bucket = refilled != null ? refilled : buckets.get(tenantName);
     if (bucket != null) {
       bucket.tokens = Math.max(0, bucket.tokens - 1);
     }
--- a/src/test/java/yewjunction/store/TenantRateLimiterTest.java
+++ b/src/test/java/yewjunction/store/TenantRateLimiterTest.java
@@ -134,6 +134,19 @@
     assertEquals(2, tokens(rateLimiter, 21_000), 0.001);
   }
 
+  /** Guards against: messages that are applied after their tenant's removal were not counted. */
+  @Test
+  void whatIsAppliedAfterItsTenantIsRemovedCounts() {
+    final TenantRateLimiter rateLimiter = quotas(0);
+    assertEquals(30 + 0.35 * 38, tokens(rateLimiter, 20_000), 0.001);
+    removeTenant(rateLimiter);
+    for (int message = 0; message < 40; message++) {
+      rateLimiter.recordAcceptedElsewhere("t", 20_000);
+    }
+    rateLimiter.setConfiguration(CHARTER);
+    assertEquals(0.35 * 38 - 10, tokens(rateLimiter, 20_000), 0.001);
+  }
+
   /** Guards against: a removal and a return within one round through the log gave a full bucket. */
   @Test
   void theLeaderContinuesFromAnAccountThatItHasOnlyProposedToEnd() {
