--- a/src/test/java/yewjunction/system/RouteChangeSimulationTest.java
+++ b/src/test/java/yewjunction/system/RouteChangeSimulationTest.java
@@ -117,4 +117,42 @@
     assertEquals(List.of(), checker.expired);
     assertTrue(checker.owed >= 100, "owed " + checker.owed);
   }
+
+  /**
+   * Guards against: who is connected when its space is removed, and subscribes again with its
+   * cursors once it is back, lacks what was acknowledged before, or gets it twice.
+   */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void whoWasConnectedWhenTheSpaceWentGetsWhatWasKept(final long seed) {
+    begin(seed);
+    final long startMs = cluster.network.nowMs();
+    cluster.network.every(
+        15,
+        () -> {
+          final SimulatedClient sender =
+              senders.get(cluster.network.random.nextInt(senders.size()));
+          if (!quiet && sender.open.size() < 4) {
+            sender.publish("v.t" + cluster.network.random.nextInt(3));
+          }
+        });
+    cluster.network.runFor(1_000 + cluster.network.random.nextInt(500));
+    cluster.configure(OTHER_SPACE, TENANTS);
+    fail();
+    quiet = true;
+    cluster.network.runFor(1_000 + cluster.network.random.nextInt(20_000));
+    cluster.configure(OTHER_SPACE + "," + SPACE, TENANTS);
+    cluster.network.runFor(APPLY_MS);
+    assertTrue(cluster.network.nowMs() - startMs < RETURN_MS, "messages are too old by now");
+    for (final SimulatedClient reader : readers) {
+      for (final String topic : List.copyOf(reader.cursors.keySet())) {
+        checker.reopen(reader.name, topic);
+        reader.subscribe(topic);
+      }
+    }
+    cluster.network.runFor(4_000);
+    assertEquals(List.of(), checker.expired);
+    settle();
+    assertTrue(checker.owed >= 100, "owed " + checker.owed);
+  }
 }
--- a/src/test/java/yewjunction/system/SimulatedClient.java
+++ b/src/test/java/yewjunction/system/SimulatedClient.java
@@ -210,6 +210,9 @@
           sent.denied = true;
           sent.deniedMs = cluster.network.nowMs();
         }
+      } else if (fields[4].equals("NOSPACE")) {
+        // No promise, and no use in saying it again: it may have been accepted or not.
+        open.remove(number);
       } else if (open.containsKey(number) && wire != null) {
         send(open.get(number));
       }
