--- a/src/main/java/yewjunction/fanout/StreamServer.java
+++ b/src/main/java/yewjunction/fanout/StreamServer.java
@@ -155,19 +155,15 @@
       final long after,
       final long upTo) {
     final List<StoredMessage> behind = messageStore.messagesAfter(topic, after);
-    response.expired = behind == null;
-    if (response.expired) {
+    if (behind == null) {
+      response.expired = true;
       LogEvent.REPLAY_EXPIRED.info(
-          edge.node
-              + ": "
-              + topic
-              + " after "
-              + after
-              + ", "
-              + messageStore.describeDropped(topic));
+          "%s: %s after %d, %s"
+              .formatted(edge.node, topic, after, messageStore.describeDropped(topic)));
+      return;
     }
     int bytes = 0;
-    for (final StoredMessage message : behind == null ? List.<StoredMessage>of() : behind) {
+    for (final StoredMessage message : behind) {
       if (message.index <= upTo) {
         response.more = bytes > REPLAY_CHUNK_BYTES;
         if (response.more) {
--- a/src/main/java/yewjunction/store/TopicMessages.java
+++ b/src/main/java/yewjunction/store/TopicMessages.java
@@ -84,19 +84,19 @@
     return lastDroppedIndex;
   }
 
-  /** A snapshot says up to where messages were dropped before it. */
+  /** A snapshot says up to where messages were dropped before it, and not at what age. */
   void restoreLastDroppedIndex(final long index) {
     lastDroppedIndex = index;
+    lastDroppedAgeMs = 0;
+    lastDroppedRetentionMs = 0;
   }
 
   /** For the log: up to where messages were dropped, and why. */
   String describeDropped() {
-    return "dropped through "
-        + lastDroppedIndex
-        + ", "
-        + lastDroppedAgeMs
-        + " ms old, kept for "
-        + lastDroppedRetentionMs
-        + " ms";
+    final String reason =
+        lastDroppedAgeMs == 0
+            ? "before the snapshot that this store began with"
+            : "%d ms old, kept for %d ms".formatted(lastDroppedAgeMs, lastDroppedRetentionMs);
+    return "dropped through %d, %s".formatted(lastDroppedIndex, reason);
   }
 }
--- a/src/test/java/yewjunction/store/MessageRetentionTest.java
+++ b/src/test/java/yewjunction/store/MessageRetentionTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.Arrays;
 import java.util.List;
@@ -152,6 +153,23 @@
     assertKept(1);
   }
 
+  /** Guards against: event 605 named an age of 0 ms, which operators are told is a fault. */
+  @Test
+  void aStoreThatBeganWithASnapshotDoesNotNameTheAgeOfWhatWasDroppedBeforeIt() {
+    store.apply(1, message(1, LINGER_MS));
+    network.runFor(LINGER_MS + QuotaLimits.RETENTION_SLACK_MS + 2_000);
+    final String dropped = store.describeDropped(TOPIC);
+    assertTrue(
+        dropped.matches("dropped through 1, 4[7-9]\\d{3} ms old, kept for 47000 ms"), dropped);
+    final byte[] snapshot = store.snapshot();
+    store = startedStore("10.2.0.9:7000");
+    store.restore(1, snapshot);
+    assertDropped();
+    assertEquals(
+        "dropped through 1, before the snapshot that this store began with",
+        store.describeDropped(TOPIC));
+  }
+
   /** Guards against: entries of earlier releases, without a retention, dropped with their route. */
   @Test
   void anEntryWithoutARetentionIsKeptAsLongAsAnyRouteAsks() {
