PublishForwarder: whether the leader may be sent to is a class of its own

Cause: backoff and the time without a response were four fields of PublishForwarder, set in six of its methods. No behaviour changes; all draws of random numbers stay where they were.

--- a/src/main/java/yewjunction/gateway/PublishForwarder.java
+++ b/src/main/java/yewjunction/gateway/PublishForwarder.java
@@ -1,9 +1,6 @@
 package yewjunction.gateway;
 
-import static yewjunction.limits.ClientLimits.LEADER_UNREACHABLE_AFTER_MS;
 import static yewjunction.limits.ClientLimits.MAX_PUBLISHES_IN_FLIGHT;
-import static yewjunction.limits.ClientLimits.MAX_PUBLISH_BACKOFF_MS;
-import static yewjunction.limits.ClientLimits.MIN_PUBLISH_BACKOFF_MS;
 import static yewjunction.limits.ClientLimits.SENT_PUBLISH_DEADLINE_SHARE;
 import static yewjunction.limits.ClientLimits.UNSENT_PUBLISH_DEADLINE_SHARE;
 
@@ -38,25 +35,17 @@
   private final PublishDependencies dependencies = new PublishDependencies();
   private final Map<Long, PendingPublish> publishes = new LinkedHashMap<>();
   private final PendingRequests<PeerConnection, PendingPublish> pendingOffers;
+  private final LeaderAvailability availability;
   private PeerConnection leaderConnection;
   private String leader = "";
   private long newestRequestId;
   private int inFlight;
 
-  /** Nothing is sent before this moment: a store that does not lead is not asked again at once. */
-  private long backoffUntilMs;
-
-  private long backoffMs = MIN_PUBLISH_BACKOFF_MS;
-
-  /** Since when messages wait without any response of a leader; 0 when none do. */
-  private long unansweredSinceMs;
-
-  private boolean leaderUnreachable;
-
   PublishForwarder(final AgentContext context, final PeerTransport transport, final long life) {
     this.context = context;
     this.transport = transport;
     pendingOffers = new PendingRequests<>(life);
+    availability = new LeaderAvailability(context.random());
     transport.onMessage(AdmitResponse.class, this::onAdmitResponse);
     transport.onClose(
         connection -> {
@@ -90,7 +79,7 @@
     final boolean follows = !route.after().isEmpty();
     final boolean followsRefused = follows && session.followsRefused(route, publish.receivedMs);
     publish.revoked = followsRefused && publish.maybeSent;
-    if (leaderUnreachable
+    if (availability.isUnreachable()
         || followsRefused && !publish.maybeSent
         || !(follows
                 && !followsRefused
@@ -99,9 +88,7 @@
       giveUp(publish);
       return;
     }
-    if (unansweredSinceMs == 0) {
-      unansweredSinceMs = publish.receivedMs;
-    }
+    availability.onWaiting(publish.receivedMs);
     session.publishesInFlight++;
     publishes.put(publish.id, publish);
     sendQueued();
@@ -109,8 +96,7 @@
 
   /** Sends queued messages up to the window: tenants in turn, a message each. */
   private void sendQueued() {
-    final long nowMs = context.nowMs();
-    if (leader.isEmpty() || nowMs < backoffUntilMs) {
+    if (leader.isEmpty() || availability.isBackingOff(context.nowMs())) {
       return;
     }
     while (inFlight < MAX_PUBLISHES_IN_FLIGHT && !publishQueue.isEmpty()) {
@@ -147,38 +133,29 @@
             });
   }
 
-  /**
-   * Backs off for a growing and partly random time, so that edges do not all come back together.
-   */
   private void backOff() {
-    backoffUntilMs = context.nowMs() + backoffMs + context.random().nextInt((int) backoffMs);
-    backoffMs = Math.min(MAX_PUBLISH_BACKOFF_MS, 2 * backoffMs);
-    context.schedule(backoffUntilMs - context.nowMs(), this::sendQueued);
+    context.schedule(availability.backOff(context.nowMs()), this::sendQueued);
   }
 
   void onLeaderChange(final String address) {
     leader = address;
     leaderConnection = null;
-    backoffUntilMs = 0;
-    backoffMs = MIN_PUBLISH_BACKOFF_MS;
     requeueInFlight();
-    markLeaderReachable();
+    logIfReachableAgain(availability.onLeaderChange());
     sendQueued();
   }
 
   /** The store knows a leader: sending may succeed, even if none responded here. */
   void onLeaderReachable() {
-    if (leaderUnreachable) {
-      markLeaderReachable();
+    if (availability.onLeaderReported()) {
+      logIfReachableAgain(true);
       sendQueued();
     }
   }
 
-  private void markLeaderReachable() {
-    unansweredSinceMs = 0;
-    if (leaderUnreachable) {
-      leaderUnreachable = false;
-      LogEvent.LEADER_REACHABLE.info("folding in " + publishQueue.size() + " messages");
+  private void logIfReachableAgain(final boolean reachableAgain) {
+    if (reachableAgain) {
+      LogEvent.LEADER_REACHABLE.info(publishQueue.size() + " waiting messages are sent");
     }
   }
 
@@ -201,8 +178,7 @@
     }
     publishes.remove(publish.id);
     onSettled(publish);
-    backoffMs = MIN_PUBLISH_BACKOFF_MS;
-    markLeaderReachable();
+    logIfReachableAgain(availability.onResponse());
     if (response.outcome == AdmissionMessages.ACCEPTED) {
       publish.session.sendAck(publish.message.topic, publish.message.sequenceNumber);
       dependencies.onAccepted(publish).forEach(publishQueue::requeue);
@@ -262,10 +238,7 @@
         }
       }
     }
-    if (!leaderUnreachable
-        && unansweredSinceMs > 0
-        && nowMs - unansweredSinceMs > LEADER_UNREACHABLE_AFTER_MS) {
-      leaderUnreachable = true;
+    if (availability.checkUnreachable(nowMs)) {
       LogEvent.LEADER_UNREACHABLE.warn("no leader answers, " + publishes.size() + " messages wait");
     }
     sendQueued();
@@ -278,7 +251,7 @@
 
   /** Whether no leader responds, so that new messages are refused at once. */
   public boolean isLeaderUnreachable() {
-    return leaderUnreachable;
+    return availability.isUnreachable();
   }
 
   /**
