What dispatches messages to handlers stands once, in MessageHandlers

Cause: a table from a message's class to its handler stood four times, in TcpPeerTransport and in the three transports of the tests (duplicates). Change: one class in common; the transports whose tests rely on a handler being there still fail without one.

--- a/src/main/java/yewjunction/transport/TcpPeerTransport.java
+++ b/src/main/java/yewjunction/transport/TcpPeerTransport.java
@@ -14,6 +14,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import yewjunction.common.MessageCodec;
+import yewjunction.common.MessageHandlers;
 import yewjunction.common.PeerConnection;
 import yewjunction.common.PeerTransport;
 
@@ -27,7 +28,7 @@
   private final InetSocketAddress localAddress;
   private final Map<String, TcpPeerConnection> connectionByAddress = new HashMap<>();
   private final Set<TcpPeerConnection> connections = new HashSet<>();
-  private final Map<Class<?>, BiConsumer<PeerConnection, Object>> handlers = new HashMap<>();
+  private final MessageHandlers handlers = new MessageHandlers();
   private final List<Consumer<PeerConnection>> closeHandlers = new ArrayList<>();
 
   /**
@@ -130,7 +131,7 @@
 
   @Override
   public <T> void onMessage(final Class<T> kind, final BiConsumer<PeerConnection, T> handler) {
-    handlers.put(kind, (connection, message) -> handler.accept(connection, kind.cast(message)));
+    handlers.register(kind, handler);
   }
 
   @Override
@@ -139,10 +140,7 @@
   }
 
   void deliver(final TcpPeerConnection connection, final Object message) {
-    final BiConsumer<PeerConnection, Object> handler = handlers.get(message.getClass());
-    if (handler != null) {
-      handler.accept(connection, message);
-    }
+    handlers.dispatch(connection, message);
   }
 
   void onClosed(final TcpPeerConnection connection) {
--- a/src/test/java/yewjunction/raft/ModelTransport.java
+++ b/src/test/java/yewjunction/raft/ModelTransport.java
@@ -2,12 +2,11 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import yewjunction.common.MessageCodec;
+import yewjunction.common.MessageHandlers;
 import yewjunction.common.PeerConnection;
 import yewjunction.common.PeerTransport;
 
@@ -28,7 +27,7 @@
   static final byte[] CLOSE = new byte[0];
 
   private final ModelHost host;
-  private final Map<Class<?>, BiConsumer<PeerConnection, Object>> handlers = new HashMap<>();
+  private final MessageHandlers handlers = new MessageHandlers();
   private final List<Consumer<PeerConnection>> closeHandlers = new ArrayList<>();
 
   ModelTransport(final ModelHost host) {
@@ -133,7 +132,9 @@
         && message instanceof RaftMessages.AppendEntriesResponse response) {
       response.round += 1;
     }
-    handlers.get(message.getClass()).accept(end, message);
+    if (!handlers.dispatch(end, message)) {
+      throw new IllegalStateException("no handler for " + message.getClass());
+    }
   }
 
   /** The process is gone: what it sent may still arrive, what is on its way to it does not. */
@@ -177,7 +178,7 @@
 
   @Override
   public <T> void onMessage(final Class<T> kind, final BiConsumer<PeerConnection, T> handler) {
-    handlers.put(kind, (connection, message) -> handler.accept(connection, kind.cast(message)));
+    handlers.register(kind, handler);
   }
 
   @Override
--- a/src/test/java/yewjunction/simulation/ScriptedTransport.java
+++ b/src/test/java/yewjunction/simulation/ScriptedTransport.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import yewjunction.common.MessageHandlers;
 import yewjunction.common.PeerConnection;
 import yewjunction.common.PeerTransport;
 
@@ -15,7 +16,7 @@
  */
 public final class ScriptedTransport implements PeerTransport {
   private final Map<String, ScriptedConnection> connections = new HashMap<>();
-  private final Map<Class<?>, BiConsumer<PeerConnection, Object>> handlers = new HashMap<>();
+  private final MessageHandlers handlers = new MessageHandlers();
 
   /** A connection, with what was sent on it. */
   public static final class ScriptedConnection implements PeerConnection {
@@ -66,7 +67,7 @@
 
   @Override
   public <T> void onMessage(final Class<T> kind, final BiConsumer<PeerConnection, T> handler) {
-    handlers.put(kind, (connection, message) -> handler.accept(connection, kind.cast(message)));
+    handlers.register(kind, handler);
   }
 
   @Override
@@ -80,6 +81,8 @@
 
   /** On that very connection, also on one that was closed: as it were still being read. */
   public void respond(final PeerConnection on, final Object message) {
-    handlers.get(message.getClass()).accept(on, message);
+    if (!handlers.dispatch(on, message)) {
+      throw new IllegalStateException("no handler for " + message.getClass());
+    }
   }
 }
--- a/src/test/java/yewjunction/simulation/SimulatedTransport.java
+++ b/src/test/java/yewjunction/simulation/SimulatedTransport.java
@@ -10,6 +10,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import yewjunction.common.MessageCodec;
+import yewjunction.common.MessageHandlers;
 import yewjunction.common.PeerConnection;
 import yewjunction.common.PeerTransport;
 
@@ -20,7 +21,7 @@
   private final int life;
   private final Map<String, End> connectionByAddress = new HashMap<>();
   private final List<End> ends = new ArrayList<>();
-  private final Map<Class<?>, BiConsumer<PeerConnection, Object>> handlers = new HashMap<>();
+  private final MessageHandlers handlers = new MessageHandlers();
   private final List<Consumer<PeerConnection>> closeHandlers = new ArrayList<>();
 
   SimulatedTransport(final SimulatedHost host) {
@@ -208,7 +209,7 @@
 
   @Override
   public <T> void onMessage(final Class<T> kind, final BiConsumer<PeerConnection, T> handler) {
-    handlers.put(kind, (connection, message) -> handler.accept(connection, kind.cast(message)));
+    handlers.register(kind, handler);
   }
 
   @Override
@@ -222,10 +223,7 @@
     if (host.network.meter != null) {
       host.network.meter.received(host.address, message, bytes.length);
     }
-    final BiConsumer<PeerConnection, Object> handler = handlers.get(message.getClass());
-    if (handler != null) {
-      handler.accept(end, message);
-    }
+    handlers.dispatch(end, message);
   }
 
   /** Every connection breaks as by a reset that both sides see. */
