Simulation: the simulated client's fields and methods bear the field's names

Cause: wire, open, numbers, cut, stall and hear needed explaining (earlier house style). Change: connection, unanswered, newestNumber, resetConnection, pauseReading, onReceived; the property for more seeds by hand is routes.seeds.

--- a/src/test/java/yewjunction/system/BorrowingSimulationTest.java
+++ b/src/test/java/yewjunction/system/BorrowingSimulationTest.java
@@ -76,7 +76,7 @@
             // Many times its rate, through every edge that its clients happen to be at.
             final SimulatedClient client =
                 rushing.get(cluster.network.random.nextInt(rushing.size()));
-            if (rush && client.open.size() < 8) {
+            if (rush && client.unanswered.size() < 8) {
               client.publish("s.rush");
             }
           });
@@ -195,7 +195,7 @@
         case 4 -> {
           cluster.kill(lead);
           cluster.kill(cluster.readyEdges(null).get(0));
-          cluster.clients.forEach(SimulatedClient::cut);
+          cluster.clients.forEach(SimulatedClient::resetConnection);
         }
         case 5 -> cluster.stop(lead);
         default -> {
@@ -245,7 +245,7 @@
     }
     assertTrue(
         cluster.network.runUntil(
-            () -> cluster.clients.stream().allMatch(client -> client.open.isEmpty()), 2_000),
+            () -> cluster.clients.stream().allMatch(client -> client.unanswered.isEmpty()), 2_000),
         "unanswered");
   }
 
--- a/src/test/java/yewjunction/system/FairnessSimulationTest.java
+++ b/src/test/java/yewjunction/system/FairnessSimulationTest.java
@@ -37,8 +37,8 @@
       cluster.network.every(
           3_000,
           () -> {
-            loud.subList(0, 4).forEach(client -> client.stall(1_500));
-            loud.subList(4, 12).forEach(SimulatedClient::cut);
+            loud.subList(0, 4).forEach(client -> client.pauseReading(1_500));
+            loud.subList(4, 12).forEach(SimulatedClient::resetConnection);
           });
     }
     cluster.network.runFor(15_000);
--- a/src/test/java/yewjunction/system/FilterSimulationTest.java
+++ b/src/test/java/yewjunction/system/FilterSimulationTest.java
@@ -69,7 +69,7 @@
             cluster.clients.forEach(
                 client -> {
                   if (cluster.network.random.nextBoolean()) {
-                    client.cut();
+                    client.resetConnection();
                   }
                 });
       }
--- a/src/test/java/yewjunction/system/IsolatedSiteSimulationTest.java
+++ b/src/test/java/yewjunction/system/IsolatedSiteSimulationTest.java
@@ -46,7 +46,7 @@
                   ? TENANTS * cluster.network.random.nextInt(6)
                   : cluster.network.random.nextInt(all.size());
           final SimulatedClient client = all.get(chosen);
-          if (client.open.size() < 8 && !quiet) {
+          if (client.unanswered.size() < 8 && !quiet) {
             client.publish("s.t" + tenant(client.name));
           }
         });
--- a/src/test/java/yewjunction/system/OrderSimulationTest.java
+++ b/src/test/java/yewjunction/system/OrderSimulationTest.java
@@ -46,7 +46,7 @@
         () -> {
           final SimulatedClient client =
               cluster.clients.get(cluster.network.random.nextInt(cluster.clients.size()));
-          if (client.open.size() < 6 && !quiet) {
+          if (client.unanswered.size() < 6 && !quiet) {
             final DeliveryChecker.Sent earlier =
                 client.publish("o." + (1 + cluster.network.random.nextInt(2)));
             if (cluster.network.random.nextBoolean()) {
@@ -134,20 +134,21 @@
         case 1 -> cluster.stop(edge);
         case 2 -> cluster.all(NodeRole.STORE).forEach(store -> cluster.network.cut(edge, store));
         case 3 ->
-            cluster.clients.forEach(client -> client.stall(cluster.network.random.nextInt(1_500)));
+            cluster.clients.forEach(
+                client -> client.pauseReading(cluster.network.random.nextInt(1_500)));
         case 4 -> {
           // Cursors of different age: some are away for a while.
           cluster.clients.forEach(
               client -> {
                 if (cluster.network.random.nextBoolean()) {
-                  client.stall(800);
-                  client.cut();
+                  client.pauseReading(800);
+                  client.resetConnection();
                 }
               });
         }
         default -> {
           for (int flap = 0; flap < 5; flap++) {
-            cluster.clients.get(cluster.network.random.nextInt(12)).cut();
+            cluster.clients.get(cluster.network.random.nextInt(12)).resetConnection();
             cluster.network.runFor(150);
           }
         }
@@ -176,7 +177,7 @@
     cluster.network.runFor(1_000);
     final int from = checker.allDeliveries.size();
     for (int round = 0; round < 10; round++) {
-      cluster.clients.forEach(SimulatedClient::cut);
+      cluster.clients.forEach(SimulatedClient::resetConnection);
       cluster.network.runFor(900);
     }
     settle();
--- a/src/test/java/yewjunction/system/RandomFaults.java
+++ b/src/test/java/yewjunction/system/RandomFaults.java
@@ -72,7 +72,7 @@
       case 2 -> cluster.stop(edge);
       case 3 -> host.freeze();
       case 4 -> host.resetConnections();
-      default -> cluster.clients.forEach(SimulatedClient::cut);
+      default -> cluster.clients.forEach(SimulatedClient::resetConnection);
     }
     edgesUnderWay++;
     cluster.network.after(
--- a/src/test/java/yewjunction/system/ReplicaReassignmentSimulationTest.java
+++ b/src/test/java/yewjunction/system/ReplicaReassignmentSimulationTest.java
@@ -43,7 +43,7 @@
     assertTrue(cluster.edge(edge).ready(), edge + " is not ready");
     cluster.clients.stream()
         .filter(client -> client.zone.equals(zone))
-        .forEach(SimulatedClient::cut);
+        .forEach(SimulatedClient::resetConnection);
     cluster.network.runFor(4_000);
     // Another serving store knows of them by the set alone.
     cluster.kill(edge.substring(0, edge.indexOf(":") - 1) + "9:" + SimulatedCluster.PORT);
--- a/src/test/java/yewjunction/system/RouteChangeSimulationTest.java
+++ b/src/test/java/yewjunction/system/RouteChangeSimulationTest.java
@@ -41,9 +41,9 @@
   /** Until then no other disk may be lost: the system tolerates one. */
   private long diskLostUntilMs;
 
-  /** The first ones in CI; more by hand: mvn test -Droutes.worlds=COUNT. */
+  /** The first ones in CI; more by hand: mvn test -Droutes.seeds=COUNT. */
   static LongStream seeds() {
-    return LongStream.rangeClosed(1, Long.getLong("routes.worlds", 18));
+    return LongStream.rangeClosed(1, Long.getLong("routes.seeds", 18));
   }
 
   private void begin(final long seed) {
@@ -67,7 +67,7 @@
     readers.forEach(SimulatedClient::leave);
     publish(60);
     cluster.network.runFor(800);
-    senders.forEach(sender -> assertEquals(0, sender.open.size(), "unanswered"));
+    senders.forEach(sender -> assertEquals(0, sender.unanswered.size(), "unanswered"));
   }
 
   private void publish(final int count) {
@@ -152,7 +152,7 @@
         () -> {
           final SimulatedClient sender =
               senders.get(cluster.network.random.nextInt(senders.size()));
-          if (!quiet && sender.open.size() < 4) {
+          if (!quiet && sender.unanswered.size() < 4) {
             sender.publish("v.t" + cluster.network.random.nextInt(3));
           }
         });
--- a/src/test/java/yewjunction/system/SimulatedClient.java
+++ b/src/test/java/yewjunction/system/SimulatedClient.java
@@ -6,25 +6,26 @@
 import java.util.TreeMap;
 
 /**
- * A client that keeps to the protocol: resumes with its cursors, repeats its numbers, follows MOVE.
+ * A client that keeps to the protocol: resumes with its cursors, sends unanswered messages again,
+ * follows MOVE.
  */
 final class SimulatedClient {
   final String name;
   final String zone;
   final Map<String, String> cursors = new TreeMap<>();
   final Map<String, String> filters = new TreeMap<>();
-  final Map<Long, DeliveryChecker.Sent> open = new TreeMap<>();
+  final Map<Long, DeliveryChecker.Sent> unanswered = new TreeMap<>();
   String key;
 
   /** Bytes that are added to each body. */
   int padding;
 
-  private long stalledUntilMs;
+  private long readingPausedUntilMs;
   private final SimulatedCluster cluster;
   private final DeliveryChecker checker;
-  private SimulatedClientConnection wire;
-  private long numbers;
-  private long heardMs;
+  private SimulatedClientConnection connection;
+  private long newestNumber;
+  private long lastReceivedMs;
   private boolean greeted;
   private boolean away;
 
@@ -44,38 +45,38 @@
   }
 
   /** What the edge has written arrives, unless the client has another connection by now. */
-  void hear(final SimulatedClientConnection from, final String text) {
-    if (wire != from) {
+  void onReceived(final SimulatedClientConnection from, final String text) {
+    if (connection != from) {
       return;
     }
-    heardMs = cluster.network.nowMs();
+    lastReceivedMs = cluster.network.nowMs();
     for (final FrameSplitter.Frame frame : from.frames.feed(text)) {
-      if (wire == from) {
+      if (connection == from) {
         onFrame(frame.fields(), frame.body());
       }
     }
   }
 
-  void closed(final SimulatedClientConnection gone) {
-    if (wire == gone) {
-      wire = null;
+  void onConnectionClosed(final SimulatedClientConnection closed) {
+    if (connection == closed) {
+      connection = null;
     }
   }
 
   /** How long it still reads nothing. */
-  long stalledMs() {
-    return Math.max(0, stalledUntilMs - cluster.network.nowMs());
+  long readingPausedMs() {
+    return Math.max(0, readingPausedUntilMs - cluster.network.nowMs());
   }
 
   String edge() {
-    return wire == null ? null : wire.edge;
+    return connection == null ? null : connection.edge;
   }
 
   /** The client resets its own connection. */
-  void cut() {
-    if (wire != null) {
-      final SimulatedClientConnection old = wire;
-      wire = null;
+  void resetConnection() {
+    if (connection != null) {
+      final SimulatedClientConnection old = connection;
+      connection = null;
       cluster.network.after(1, old::close);
     }
   }
@@ -83,7 +84,7 @@
   /** Closes its connection and stays away, with its cursors, until it returns. */
   void leave() {
     away = true;
-    cut();
+    resetConnection();
   }
 
   void comeBack() {
@@ -91,24 +92,24 @@
   }
 
   /** Reads nothing for a while; what comes piles up at the edge. */
-  void stall(final long forMs) {
-    stalledUntilMs = cluster.network.nowMs() + forMs;
+  void pauseReading(final long forMs) {
+    readingPausedUntilMs = cluster.network.nowMs() + forMs;
   }
 
-  void resetBy(final String edge) {
-    if (wire != null && wire.edge.equals(edge)) {
-      wire = null;
+  void onEdgeGone(final String edge) {
+    if (connection != null && connection.edge.equals(edge)) {
+      connection = null;
     }
   }
 
   private void check() {
     final long nowMs = cluster.network.nowMs();
-    if (wire != null && nowMs - heardMs > 3_000) {
-      cut();
-    } else if (wire != null && nowMs - heardMs > 1_000) {
-      wire.receive("PING\r\n");
+    if (connection != null && nowMs - lastReceivedMs > 3_000) {
+      resetConnection();
+    } else if (connection != null && nowMs - lastReceivedMs > 1_000) {
+      connection.receive("PING\r\n");
     }
-    if (wire == null && !away) {
+    if (connection == null && !away) {
       List<String> ready = cluster.readyEdges(zone);
       ready = ready.isEmpty() ? cluster.readyEdges(null) : ready;
       if (!ready.isEmpty()) {
@@ -118,19 +119,19 @@
   }
 
   private void connect(final String edge) {
-    wire = new SimulatedClientConnection(cluster, this, edge);
+    connection = new SimulatedClientConnection(cluster, this, edge);
     greeted = false;
-    heardMs = cluster.network.nowMs();
-    wire.receive("HELLO " + name + " " + key + "\r\n");
+    lastReceivedMs = cluster.network.nowMs();
+    connection.receive("HELLO " + name + " " + key + "\r\n");
   }
 
   void subscribe(final String topic) {
     cursors.putIfAbsent(topic, "");
-    if (greeted && wire != null) {
+    if (greeted && connection != null) {
       final String filter = filters.getOrDefault(topic, "");
       final String cursor =
           cursors.get(topic).isEmpty() && !filter.isEmpty() ? "-" : cursors.get(topic);
-      wire.receive(("SUB " + topic + " " + cursor + " " + filter).trim() + "\r\n");
+      connection.receive(("SUB " + topic + " " + cursor + " " + filter).trim() + "\r\n");
     }
   }
 
@@ -141,11 +142,11 @@
   }
 
   DeliveryChecker.Sent publish(final String topic) {
-    final long number = ++numbers;
+    final long number = ++newestNumber;
     final DeliveryChecker.Sent sent =
         checker.sent(name, topic, number, cluster.network.nowMs(), padding);
-    open.put(number, sent);
-    if (greeted && wire != null) {
+    unanswered.put(number, sent);
+    if (greeted && connection != null) {
       send(sent);
     }
     return sent;
@@ -154,7 +155,7 @@
   private void send(final DeliveryChecker.Sent sent) {
     sent.tries++;
     sent.lastSentMs = cluster.network.nowMs();
-    wire.receive(
+    connection.receive(
         "PUB "
             + sent.topic
             + " "
@@ -172,7 +173,7 @@
         if (fields[1].equals("HELLO")) {
           greeted = true;
           new ArrayList<>(cursors.keySet()).forEach(this::subscribe);
-          new ArrayList<>(open.values()).forEach(this::send);
+          new ArrayList<>(unanswered.values()).forEach(this::send);
         } else if (fields[1].equals("SUB")) {
           cursors.put(fields[2], fields[3]);
           if (fields.length > 4) {
@@ -187,14 +188,14 @@
         cursors.put(fields[1], fields[2]);
       }
       case "ACK" -> {
-        final DeliveryChecker.Sent sent = open.remove(Long.parseLong(fields[2]));
+        final DeliveryChecker.Sent sent = unanswered.remove(Long.parseLong(fields[2]));
         if (sent != null) {
           checker.acknowledged(sent);
         }
       }
       case "REFUSE" -> refused(fields);
       case "MOVE" -> {
-        cut();
+        resetConnection();
         connect(fields[1].substring(0, fields[1].indexOf(':')) + ":" + SimulatedCluster.PORT);
       }
       default -> {}
@@ -205,16 +206,16 @@
     if (fields[1].equals("PUB")) {
       final long number = Long.parseLong(fields[3]);
       if (fields[4].equals("RETRY")) {
-        final DeliveryChecker.Sent sent = open.remove(number);
+        final DeliveryChecker.Sent sent = unanswered.remove(number);
         if (sent != null) {
           sent.denied = true;
           sent.deniedMs = cluster.network.nowMs();
         }
       } else if (fields[4].equals("NOSPACE")) {
         // No promise, and no use in saying it again: it may have been accepted or not.
-        open.remove(number);
-      } else if (open.containsKey(number) && wire != null) {
-        send(open.get(number));
+        unanswered.remove(number);
+      } else if (unanswered.containsKey(number) && connection != null) {
+        send(unanswered.get(number));
       }
     } else if (fields[1].equals("SUB")) {
       checker.refused(name, fields[2], fields[4], cluster.network.nowMs());
@@ -225,7 +226,7 @@
       if (fields[4].equals("DENIED")) {
         checker.revoked.add(name + " HELLO");
       }
-      cut();
+      resetConnection();
     }
   }
 }
--- a/src/test/java/yewjunction/system/SimulatedClientConnection.java
+++ b/src/test/java/yewjunction/system/SimulatedClientConnection.java
@@ -55,11 +55,11 @@
     if (!flushing) {
       flushing = true;
       cluster.network.after(
-          client.stalledMs(),
+          client.readingPausedMs(),
           () -> {
             flushing = false;
             final String text = new String(out.take(), StandardCharsets.US_ASCII);
-            cluster.network.after(1, () -> client.hear(this, text));
+            cluster.network.after(1, () -> client.onReceived(this, text));
           });
     }
     return out;
@@ -82,7 +82,7 @@
       if (owner != null) {
         host.guarded(life, owner::onClosed);
       }
-      cluster.network.after(1, () -> client.closed(this));
+      cluster.network.after(1, () -> client.onConnectionClosed(this));
     }
   }
 
--- a/src/test/java/yewjunction/system/SimulatedCluster.java
+++ b/src/test/java/yewjunction/system/SimulatedCluster.java
@@ -129,7 +129,7 @@
 
   void kill(final String address) {
     network.host(address).kill();
-    clients.forEach(client -> client.resetBy(address));
+    clients.forEach(client -> client.onEdgeGone(address));
   }
 
   void powerOff(final String address) {
--- a/src/test/java/yewjunction/system/SystemSimulation.java
+++ b/src/test/java/yewjunction/system/SystemSimulation.java
@@ -41,7 +41,7 @@
         () -> {
           final SimulatedClient client =
               cluster.clients.get(cluster.network.random.nextInt(cluster.clients.size()));
-          if (client.open.size() < 4 && !quiet) {
+          if (client.unanswered.size() < 4 && !quiet) {
             client.publish("s.t" + cluster.network.random.nextInt(topics));
           }
         });
--- a/src/test/java/yewjunction/system/SystemSimulationTest.java
+++ b/src/test/java/yewjunction/system/SystemSimulationTest.java
@@ -67,7 +67,7 @@
             cluster.clients.forEach(
                 client -> {
                   if (cluster.network.random.nextInt(3) > 0) {
-                    client.cut();
+                    client.resetConnection();
                   }
                 });
         case 9 -> cluster.all(NodeRole.STORE).forEach(other -> cluster.network.cut(store, other));
