TenantRateLimiter: a tenant is looked up once for a message

Cause: with the charge for held messages each admission looked its tenant up twice, in refill and beside it, and the lookup that bears a missing configuration stood twice. Change: one lookup, handed to refill, which no longer answers null. No behaviour changes: tests of the rate limiter, of retention, of borrowing and of route changes pass.

--- a/src/main/java/yewjunction/store/TenantRateLimiter.java
+++ b/src/main/java/yewjunction/store/TenantRateLimiter.java
@@ -65,15 +65,16 @@
         * (excess * (tenant.ratePerSecond() * windowS + tenant.burst()) + slack);
   }
 
-  private TokenBucket refill(final String tenantName, final long nowMs) {
-    final Tenant tenant = configuration == null ? null : configuration.tenant(tenantName);
-    if (tenant == null) {
-      return null;
-    }
+  /** Null for one that the configuration lacks. */
+  private Tenant tenant(final String tenantName) {
+    return configuration == null ? null : configuration.tenant(tenantName);
+  }
+
+  private TokenBucket refill(final Tenant tenant, final long nowMs) {
     final double depth = bucketDepth(tenant);
     final TokenBucket bucket =
         buckets.computeIfAbsent(
-            tenantName,
+            tenant.name(),
             key -> {
               final TokenBucket newBucket = new TokenBucket();
               // Nothing is known of the time before the start: the bucket has been filling since
@@ -104,7 +105,7 @@
     terms.bucketDepth = (long) (bucketDepth(tenant) * BorrowingAccount.THOUSANDTHS);
     terms.borrowMax = tenant.borrowMax() * BorrowingAccount.THOUSANDTHS;
     terms.repayPpm = tenant.repayPpm();
-    terms.firstTokens = (long) (refill(tenant.name(), nowMs).tokens * BorrowingAccount.THOUSANDTHS);
+    terms.firstTokens = (long) (refill(tenant, nowMs).tokens * BorrowingAccount.THOUSANDTHS);
     return terms;
   }
 
@@ -134,7 +135,7 @@
   void capAfterRestore() {
     buckets.forEach(
         (name, bucket) -> {
-          final Tenant tenant = configuration == null ? null : configuration.tenant(name);
+          final Tenant tenant = tenant(name);
           bucket.tokens = tenant == null ? 0 : Math.min(bucket.tokens, startupAllowance(tenant));
         });
   }
@@ -149,13 +150,13 @@
    * @param heldMs for how long the message's edge held it
    */
   boolean tryAcquire(final String tenantName, final long heldMs, final long nowMs) {
-    final TokenBucket bucket = refill(tenantName, nowMs);
-    if (bucket == null) {
+    final Tenant tenant = tenant(tenantName);
+    if (tenant == null) {
       // A message of a public route has no tenant; a tenant that was removed gets nothing more.
       return tenantName.isEmpty();
     }
-    final double refilledMeanwhile =
-        heldMs * configuration.tenant(tenantName).ratePerSecond() / 1_000;
+    final TokenBucket bucket = refill(tenant, nowMs);
+    final double refilledMeanwhile = heldMs * tenant.ratePerSecond() / 1_000;
     if (bucket.tokens - refilledMeanwhile < 1) {
       return false;
     }
@@ -172,8 +173,8 @@
       // What is applied right after the start was counted before it.
       return;
     }
-    final TokenBucket refilled = refill(tenantName, nowMs);
-    final TokenBucket bucket = refilled != null ? refilled : buckets.get(tenantName);
+    final Tenant tenant = tenant(tenantName);
+    final TokenBucket bucket = tenant == null ? buckets.get(tenantName) : refill(tenant, nowMs);
     if (bucket != null) {
       bucket.tokens = Math.max(0, bucket.tokens - 1);
     }
