--- a/review/stand-ins-2/Client.java
+++ b/review/stand-ins-2/Client.java
@@ -24,6 +24,7 @@
   private final Socket socket;
   private final Consumer<Line> owner;
   private volatile boolean ended;
+  private volatile long saidMs = nowMs();
 
   Client(final String address, final int port, final Consumer<Line> owner) throws IOException {
     this.owner = owner;
@@ -35,6 +36,28 @@
     reader.start();
   }
 
+  /** From now on it sends PING when it has said nothing for a while, shorter than PingS. */
+  Client withPings() {
+    final Thread pings =
+        new Thread(
+            () -> {
+              try {
+                while (!ended) {
+                  Thread.sleep(200);
+                  if (nowMs() - saidMs > 1_500) {
+                    send("PING");
+                  }
+                }
+              } catch (final IOException | InterruptedException failure) {
+                // It has ended.
+              }
+            },
+            "pings");
+    pings.setDaemon(true);
+    pings.start();
+    return this;
+  }
+
   static long nowMs() {
     return System.nanoTime() / 1_000_000;
   }
@@ -75,6 +98,7 @@
   }
 
   synchronized void send(final String text) throws IOException {
+    saidMs = nowMs();
     socket.getOutputStream().write((text + "\r\n").getBytes(StandardCharsets.US_ASCII));
   }
 
--- a/review/stand-ins-2/Configs.java
+++ b/review/stand-ins-2/Configs.java
@@ -18,6 +18,22 @@
     return text.append("]}").toString();
   }
 
+  /** A version with these routes beside kalo181. and with eight tenants. */
+  static String spaces(final long version, final String... routes) {
+    final String whole = config(version, 8, 38, 38);
+    final int first = whole.indexOf("{\"Name\":\"r-s47qdqi\"");
+    final int second = whole.indexOf("{\"Name\":\"r-qrh4jcd\"");
+    final StringBuilder text = new StringBuilder(whole.substring(0, first));
+    for (final String route : routes) {
+      text.append(route).append(",");
+    }
+    return text.append(whole.substring(second)).toString();
+  }
+
+  static String route(final String name, final String prefix, final int lingerS) {
+    return route(name, prefix, 1500, 150, 1, lingerS);
+  }
+
   private static String route(
       final String name,
       final String prefix,
--- a/review/stand-ins-2/Fleet.java
+++ b/review/stand-ins-2/Fleet.java
@@ -246,6 +246,11 @@
     }
   }
 
+  /** One try to replace the configuration, at a control node in turn; returns the status. */
+  int replace(final long base, final String json, final int turn) {
+    return post(controls.get(turn % 3).ip + ":" + CTL, "/-/config/replace", base, json);
+  }
+
   private static int post(
       final String address, final String path, final long base, final String json) {
     String at = "http://" + address + path;
--- a/review/stand-ins-2/Repeat.java
+++ b/review/stand-ins-2/Repeat.java
@@ -7,14 +7,16 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * A message is accepted, and its ACK is lost with the connection. The sender comes back on another
- * edge and sends the same number again within ResendS, while that edge has just been frozen.
+ * A message is accepted, and its ACK is lost with the connection. The sender comes back at once, on
+ * another edge, gets its OK and sends the same number again; that edge has just been frozen.
  */
 final class Repeat {
   private static final int ROUNDS = 6;
   private static final long FREEZE_MS = 2_800;
-  private static final long RESEND_AFTER_MS = 2_600;
-  private static final long ANSWER_MS = 1_500;
+
+  /** The space's TimeoutMs: a client waits so long for an answer to PUB. */
+  private static final int TIMEOUT_MS = 4_000;
+
 
   private Repeat() {}
 
@@ -33,7 +35,8 @@
   private static int run(final Fleet fleet, final Record record, final boolean trouble)
       throws Exception {
     fleet.startAll();
-    fleet.configure(Configs.config(3, 8, 38, 38));
+    fleet.configure(
+        Configs.config(3, 8, 38, 38).replace("\"TimeoutMs\":1200", "\"TimeoutMs\":" + TIMEOUT_MS));
     record.say("the fleet serves");
     int broken = 0;
     for (int round = 0; round < ROUNDS; round++) {
@@ -50,7 +53,8 @@
                   record.note("subscriber gets " + String.join(" ", line.words()) + " " + line.body());
                 }
                 atSubscriber.add(line);
-              });
+              })
+              .withPings();
       subscriber.send("HELLO sub" + round + " k1");
       await(atSubscriber, "OK", "HELLO");
       subscriber.send("SUB " + topic);
@@ -95,30 +99,29 @@
     }
     final long sentMs = Client.nowMs();
     final BlockingQueue<Client.Line> answers = new LinkedBlockingQueue<>();
-    Client after = new Client(second.ip, second.port(), answers::add);
+    Client after = new Client(second.ip, second.port(), answers::add).withPings();
     after.send("HELLO " + name + " k0");
     await(answers, "OK", "HELLO");
     record.say("HELLO answered by " + second.node);
     if (trouble) {
       second.signal("STOP");
-      Thread.sleep(RESEND_AFTER_MS - (Client.nowMs() - sentMs));
-    } else {
-      Thread.sleep(RESEND_AFTER_MS);
+      record.say(second.node + " stands still");
     }
     after.publish(topic, 1, body);
-    record.say("PUB 1 again, " + (Client.nowMs() - sentMs) + " ms after the first");
+    record.say("PUB 1 again, " + (Client.nowMs() - sentMs) + " ms after the reset");
     if (trouble) {
-      Thread.sleep(FREEZE_MS - RESEND_AFTER_MS);
+      Thread.sleep(FREEZE_MS);
       second.signal("CONT");
+      record.say(second.node + " goes on");
     }
     long number = 1;
     for (int attempt = 0; attempt < 5; attempt++) {
-      final Client.Line answer = answers.poll(ANSWER_MS, TimeUnit.MILLISECONDS);
+      final Client.Line answer = answer(answers, after);
       if (answer == null) {
         // Silence or a cut: the same number is sent again, over a new connection.
         after.reset();
         record.say("no answer; the client comes back at " + first.node);
-        after = new Client(first.ip, first.port(), answers::add);
+        after = new Client(first.ip, first.port(), answers::add).withPings();
         after.send("HELLO " + name + " k0");
         await(answers, "OK", "HELLO");
         after.publish(topic, number, body);
@@ -134,8 +137,12 @@
         number++;
         Thread.sleep(400);
       }
-      after.publish(topic, number, body);
       record.say("PUB " + number);
+      try {
+        after.publish(topic, number, body);
+      } catch (final IOException failure) {
+        record.say("the connection has ended");
+      }
     }
     Thread.sleep(500);
     after.close();
@@ -143,6 +150,22 @@
     return got.size() > 1;
   }
 
+  /** The next answer; null after TimeoutMs, or when the connection has ended. */
+  private static Client.Line answer(final BlockingQueue<Client.Line> answers, final Client client)
+      throws InterruptedException {
+    final long end = Client.nowMs() + TIMEOUT_MS;
+    while (Client.nowMs() < end) {
+      final Client.Line line = answers.poll(50, TimeUnit.MILLISECONDS);
+      if (line != null && !line.is("PONG")) {
+        return line;
+      }
+      if (line == null && client.ended()) {
+        return null;
+      }
+    }
+    return null;
+  }
+
   private static Client.Line await(
       final BlockingQueue<Client.Line> lines, final String... begin) throws Exception {
     final long end = Client.nowMs() + 3_000;
