A retention that a version ended is kept by the control group, and stores keep by it

SUB is answered EXPIRED though the message is 30 s old.

Cause: the log's entry holds the retention at admission; a longer one raised it in the memory of running stores only. After a restart without the route a store saw 10 s and dropped the message at 22 s. Stores are not told of versions that they skip either, so one that was down, or got several versions in one message, missed the raise altogether.

Change: with each change of the configuration the control group's leader works out which retentions it ends (FormerRetentions). It keeps by it what it holds and what it replays, for the retention and the slack (RouteRetentions). An entry leaves the list with the first change after that time.

--- a/src/main/java/yewjunction/control/Configuration.java
+++ b/src/main/java/yewjunction/control/Configuration.java
@@ -253,6 +253,12 @@
     return null;
   }
 
+  /** Milliseconds for which messages of a topic are kept, 0 without a route. */
+  public long retentionMsOf(final String topic) {
+    final Route route = routeOf(topic);
+    return route == null ? 0 : route.retentionMs();
+  }
+
   /** Whose key that is, null when nobody's. */
   public Tenant tenantOfKey(final String key) {
     return tenantsByKey.get(key);
--- a/src/main/java/yewjunction/control/ConfigurationChange.java
+++ b/src/main/java/yewjunction/control/ConfigurationChange.java
@@ -10,6 +10,7 @@
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
+import java.util.List;
 
 /**
  * A change of the configuration as it was sent, and what can be said of it whatever version is
@@ -125,8 +126,10 @@
   /**
    * Computes the command for a base, off the agent's thread. A version's text never changes, so
    * neither does the outcome.
+   *
+   * @param formerRetentions those that stay in force
    */
-  void prepare(final Configuration current) {
+  void prepare(final Configuration current, final List<FormerRetention> formerRetentions) {
     prepared = true;
     if (sent == null) {
       read();
@@ -138,6 +141,7 @@
       prepared.digest = digest;
       prepared.json = result.json();
       prepared.version = result.version();
+      prepared.formerRetentions = FormerRetentions.after(formerRetentions, current, result);
       ConfigurationPatches.attachTo(prepared, current, result);
       command = prepared;
     } catch (final ConfigurationException found) {
--- a/src/main/java/yewjunction/control/ControlCommand.java
+++ b/src/main/java/yewjunction/control/ControlCommand.java
@@ -50,6 +50,9 @@
 
   long patchDigest;
 
+  /** SET_CONFIGURATION: the former retentions that are in force from this version on. */
+  List<FormerRetention> formerRetentions = new ArrayList<>();
+
   ControlCommand() {}
 
   ControlCommand(final int kind) {
--- a/src/main/java/yewjunction/control/ControlService.java
+++ b/src/main/java/yewjunction/control/ControlService.java
@@ -22,7 +22,9 @@
   public static final int GROUP = 0;
 
   private final AgentContext context;
+  private final ControlStateMachine stateMachine;
   private final RaftNode raftNode;
+  private final FormerRetentions formerRetentions;
   private final MembershipList membership;
   private final LeaseServer leaseServer;
   private final OperatorApi operatorApi;
@@ -44,7 +46,8 @@
     this.membership = membership;
     this.ownAddress = ownAddress;
     canVote = !settings.dataFolder().isEmpty();
-    final ControlStateMachine stateMachine = new ControlStateMachine(this);
+    stateMachine = new ControlStateMachine(this);
+    formerRetentions = new FormerRetentions(context);
     raftNode = new RaftNode(GROUP, context, transport, disk, executor, "charter", stateMachine);
     raftNode.registerHandlers();
     raftNode
@@ -69,6 +72,7 @@
             stateMachine,
             raftNode,
             registry,
+            formerRetentions,
             new ClusterStatus(stateMachine, raftNode, membership, registry, processes));
   }
 
@@ -111,6 +115,7 @@
 
   @Override
   public void onConfigurationChanged() {
+    formerRetentions.onChanged(stateMachine.formerRetentions());
     if (leaseServer != null) {
       leaseServer.scheduleUpdate();
     }
--- a/src/main/java/yewjunction/control/ControlStateMachine.java
+++ b/src/main/java/yewjunction/control/ControlStateMachine.java
@@ -30,6 +30,7 @@
     long version;
     List<AcceptedChange> acceptedChanges = new ArrayList<>();
     ClusterState clusterState = new ClusterState();
+    List<FormerRetention> formerRetentions = new ArrayList<>();
   }
 
   /** A change that was accepted, so that its exact repeat is known; encoded by position. */
@@ -98,6 +99,11 @@
     return snapshot.clusterState;
   }
 
+  /** Retentions that earlier versions had and that still bind the stores. */
+  List<FormerRetention> formerRetentions() {
+    return snapshot.formerRetentions;
+  }
+
   boolean wasAccepted(final long version, final String digest) {
     return snapshot.acceptedChanges.stream()
         .anyMatch(one -> one.version == version && one.digest.equals(digest));
@@ -144,6 +150,7 @@
     recentChanges.add(command);
     snapshot.json = command.json;
     snapshot.version = command.version;
+    snapshot.formerRetentions = command.formerRetentions;
     final AcceptedChange taken = new AcceptedChange();
     taken.version = command.version;
     taken.digest = command.digest;
--- a/src/main/java/yewjunction/control/LeaseClient.java
+++ b/src/main/java/yewjunction/control/LeaseClient.java
@@ -53,6 +53,12 @@
     /** Another version is in force. */
     void onConfigurationChanged(Configuration configuration);
 
+    /**
+     * Earlier versions kept messages for longer; told to stores only, and before the version that
+     * ended it.
+     */
+    default void onFormerRetentions(final List<FormerRetention> retentions) {}
+
     /** Replica ids, stores or retirements changed. */
     void onClusterStateChanged(ClusterState clusterState);
   }
@@ -198,6 +204,9 @@
     if (clusterState.version > factsBefore) {
       listener.onClusterStateChanged(clusterState);
     }
+    if (!response.formerRetentions.isEmpty()) {
+      listener.onFormerRetentions(response.formerRetentions);
+    }
     // Invariant: the version never falls in one life of the process.
     final Configuration before = configuration;
     if (response.json != null && response.version > version()) {
--- a/src/main/java/yewjunction/control/LeaseMessages.java
+++ b/src/main/java/yewjunction/control/LeaseMessages.java
@@ -92,6 +92,9 @@
     List<RecentChanges.VersionPatch> patches = new ArrayList<>();
 
     List<ClusterState.Change> changes = new ArrayList<>();
+
+    /** For a store: the former retentions that ended after the version that it knows. */
+    List<FormerRetention> formerRetentions = new ArrayList<>();
   }
 
   /**
--- a/src/main/java/yewjunction/control/LeaseServer.java
+++ b/src/main/java/yewjunction/control/LeaseServer.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 import yewjunction.common.AgentContext;
 import yewjunction.common.PeerConnection;
 import yewjunction.common.PeerTransport;
@@ -249,6 +250,7 @@
               .patchesFrom(subscriber.version, stateMachine.json().length());
       response.json = patches == null ? stateMachine.json() : null;
       response.patches = patches == null ? response.patches : patches;
+      response.formerRetentions = formerRetentionsFor(subscriber);
       subscriber.version = stateMachine.version();
       subscriber.updatedMs = context.nowMs();
     }
@@ -263,6 +265,16 @@
     return response;
   }
 
+  /** Also those of versions in between that the process is not told of one by one. */
+  private List<FormerRetention> formerRetentionsFor(final SubscriberState subscriber) {
+    if (!NodeRole.STORE.is(subscriber.request.process.role)) {
+      return new ArrayList<>();
+    }
+    return stateMachine.formerRetentions().stream()
+        .filter(one -> one.endedAfter(subscriber.version))
+        .collect(Collectors.toCollection(ArrayList::new));
+  }
+
   /**
    * Sends a new configuration to all processes at the end of this turn, so that all that changes in
    * it goes out in one message.
--- a/src/main/java/yewjunction/control/OperatorApi.java
+++ b/src/main/java/yewjunction/control/OperatorApi.java
@@ -32,6 +32,7 @@
   private final ControlStateMachine stateMachine;
   private final RaftNode raftNode;
   private final NodeRegistry registry;
+  private final FormerRetentions formerRetentions;
   private final ClusterStatus status;
   private final ChangeQueue changeQueue;
 
@@ -75,12 +76,14 @@
       final ControlStateMachine stateMachine,
       final RaftNode raftNode,
       final NodeRegistry registry,
+      final FormerRetentions formerRetentions,
       final ClusterStatus status) {
     changeQueue = new ChangeQueue(context, raftNode, this::notLeader);
     this.status = status;
     this.stateMachine = stateMachine;
     this.raftNode = raftNode;
     this.registry = registry;
+    this.formerRetentions = formerRetentions;
   }
 
   /** Sets who parses bodies, one at a time, off the agent's thread; without one the agent does. */
@@ -213,9 +216,12 @@
     if (!change.prepared()) {
       final Configuration current = stateMachine.parsedConfiguration();
       final String json = stateMachine.json();
+      final List<FormerRetention> retentions = formerRetentions.unexpired();
       return CallDecision.backgroundWork(
           () ->
-              change.prepare(current != null || json == null ? current : Configuration.read(json)));
+              change.prepare(
+                  current != null || json == null ? current : Configuration.read(json),
+                  retentions));
     }
     // The base was checked again after the preparation: another leader may have gone on meanwhile.
     return CallDecision.propose(
--- a/src/main/java/yewjunction/node/StoreNode.java
+++ b/src/main/java/yewjunction/node/StoreNode.java
@@ -9,6 +9,7 @@
 import yewjunction.common.PeerTransport;
 import yewjunction.control.ClusterState;
 import yewjunction.control.Configuration;
+import yewjunction.control.FormerRetention;
 import yewjunction.control.LeaseClient;
 import yewjunction.fanout.StreamServer;
 import yewjunction.fanout.SubscriptionSyncServer;
@@ -165,6 +166,11 @@
             });
   }
 
+  @Override
+  public void onFormerRetentions(final List<FormerRetention> retentions) {
+    messageStore.addFormerRetentions(retentions);
+  }
+
   @Override
   public void onConfigurationChanged(final Configuration configuration) {
     messageStore.setConfiguration(configuration);
--- a/src/main/java/yewjunction/store/MessageStore.java
+++ b/src/main/java/yewjunction/store/MessageStore.java
@@ -15,6 +15,7 @@
 import yewjunction.common.AgentContext;
 import yewjunction.control.AccountBalance;
 import yewjunction.control.Configuration;
+import yewjunction.control.FormerRetention;
 import yewjunction.raft.StateMachine;
 import yewjunction.settings.Settings;
 
@@ -36,12 +37,9 @@
   final AcceptedNumbers acceptedNumbers = new AcceptedNumbers();
   final TenantRateLimiter rateLimiter;
   final BorrowingAccounts accounts;
-  private Configuration configuration;
+  private final RouteRetentions retentions = new RouteRetentions();
   private long lastDroppedIndex;
 
-  /** Of all routes of all configurations seen since the start. */
-  private long longestRetentionMs;
-
   /** The whole state, as a snapshot holds it; encoded by position. */
   static final class Snapshot {
     List<StoredMessage> messages = new ArrayList<>();
@@ -94,10 +92,23 @@
 
   /** How long messages are kept, and how much tenants may send, from now on. */
   public void setConfiguration(final Configuration newConfiguration) {
-    configuration = newConfiguration;
     rateLimiter.setConfiguration(newConfiguration);
-    longestRetentionMs = Math.max(longestRetentionMs, newConfiguration.longestRetentionMs());
-    byTopic.forEach((topic, messages) -> messages.setRouteRetention(routeRetentionMs(topic)));
+    retentions.setConfiguration(newConfiguration);
+    updateRouteRetentions();
+  }
+
+  /**
+   * Earlier configurations, which this store may never have seen, kept messages for longer. Comes
+   * before the configuration that ended it.
+   */
+  public void addFormerRetentions(final List<FormerRetention> former) {
+    retentions.addFormer(former, context.nowMs());
+    updateRouteRetentions();
+  }
+
+  private void updateRouteRetentions() {
+    byTopic.forEach(
+        (topic, messages) -> messages.setRouteRetention(retentions.retentionMsOf(topic)));
   }
 
   static byte[] encode(final StoredMessage message) {
@@ -129,13 +140,7 @@
   }
 
   private TopicMessages messagesOf(final String topic) {
-    return byTopic.computeIfAbsent(topic, key -> new TopicMessages(routeRetentionMs(key)));
-  }
-
-  /** What the newest configuration says; 0 for a topic without a route. */
-  private long routeRetentionMs(final String topic) {
-    final Configuration.Route route = configuration == null ? null : configuration.routeOf(topic);
-    return route == null ? 0 : route.retentionMs();
+    return byTopic.computeIfAbsent(topic, key -> new TopicMessages(retentions.retentionMsOf(key)));
   }
 
   /** The messages with an index above the first and up to the second argument, in order. */
@@ -168,18 +173,21 @@
   private void dropExpired() {
     final long nowMs = context.nowMs();
     acceptedNumbers.removeExpired(nowMs);
+    if (retentions.removeExpired(nowMs)) {
+      updateRouteRetentions();
+    }
     // Without a configuration nothing may be dropped: how long messages are kept is not known.
-    if (configuration != null) {
+    if (retentions.isKnown()) {
       byTopic.values().forEach(messages -> dropExpired(messages, nowMs));
     }
   }
 
   private void dropExpired(final TopicMessages messages, final long nowMs) {
-    StoredMessage dropped = messages.dropOldestExpired(nowMs, longestRetentionMs);
+    StoredMessage dropped = messages.dropOldestExpired(nowMs, retentions.longestMs());
     while (dropped != null) {
       byIndex.remove(dropped.index);
       lastDroppedIndex = Math.max(lastDroppedIndex, dropped.index);
-      dropped = messages.dropOldestExpired(nowMs, longestRetentionMs);
+      dropped = messages.dropOldestExpired(nowMs, retentions.longestMs());
     }
   }
 
--- a/src/main/java/yewjunction/store/TopicMessages.java
+++ b/src/main/java/yewjunction/store/TopicMessages.java
@@ -18,7 +18,7 @@
 final class TopicMessages {
   private final ArrayDeque<StoredMessage> messages = new ArrayDeque<>();
 
-  /** Of the route in the newest configuration; 0 when it has none. */
+  /** Of the topic's route, as {@link RouteRetentions} has it; 0 when it has none. */
   private long routeRetentionMs;
 
   private long lastDroppedIndex;
--- a/src/test/java/yewjunction/control/ControlWireFormatTest.java
+++ b/src/test/java/yewjunction/control/ControlWireFormatTest.java
@@ -81,6 +81,10 @@
     return process;
   }
 
+  private static List<FormerRetention> formerRetentions() {
+    return List.of(new FormerRetention("orders.", 35_000, 22), new FormerRetention("o", 1_500, 21));
+  }
+
   static Map<String, Object> messages() {
     final Map<String, Object> messages = new LinkedHashMap<>();
     final LeaseMessages.LeaseRequest leaseRequest = new LeaseMessages.LeaseRequest();
@@ -107,6 +111,10 @@
     change.command = command(ControlCommand.BEGIN_RETIREMENT);
     leaseResponse.changes.add(change);
     messages.put("51", leaseResponse);
+    final LeaseMessages.LeaseResponse withFormerRetentions = new LeaseMessages.LeaseResponse();
+    withFormerRetentions.version = 22;
+    withFormerRetentions.formerRetentions = formerRetentions();
+    messages.put("51-former-retentions", withFormerRetentions);
     final LeaseMessages.ConfirmLeadershipRequest confirmRequest =
         new LeaseMessages.ConfirmLeadershipRequest();
     confirmRequest.requestId = 31;
@@ -141,6 +149,16 @@
     final ControlStateMachine stateMachine = ControlStateFixture.stateMachine();
     ControlStateFixture.apply(stateMachine, 1);
     examples.put("snapshot", stateMachine.snapshot());
+    final ControlCommand withFormerRetentions =
+        new ControlCommand(ControlCommand.SET_CONFIGURATION);
+    withFormerRetentions.json = "{\"Ver\":3}";
+    withFormerRetentions.version = 3;
+    withFormerRetentions.baseVersion = 2;
+    withFormerRetentions.formerRetentions = formerRetentions();
+    final byte[] encoded = ControlStateMachine.encode(withFormerRetentions);
+    examples.put("command-1-former-retentions", encoded);
+    stateMachine.apply(9, encoded);
+    examples.put("snapshot-former-retentions", stateMachine.snapshot());
     GoldenBytes.assertUnchanged("control-state.txt", examples);
   }
 }
--- a/src/test/java/yewjunction/store/MessageRetentionTest.java
+++ b/src/test/java/yewjunction/store/MessageRetentionTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
 import yewjunction.control.Configuration;
+import yewjunction.control.FormerRetention;
 import yewjunction.limits.QuotaLimits;
 import yewjunction.simulation.SimulatedNetwork;
 
@@ -153,6 +154,45 @@
     assertKept(1);
   }
 
+  private void learnFormerRetention(final long lingerMs) {
+    store.addFormerRetentions(List.of(new FormerRetention("orders.", lingerMs, 1)));
+    configure("");
+  }
+
+  /** Guards against: a raise and a removal that a store missed, and its log knows nothing of. */
+  @Test
+  void aStoreThatNeverSawTheLongerRetentionKeepsTheMessages() {
+    configure(route("orders.", 10_000));
+    store.apply(1, message(1, 10_000));
+    learnFormerRetention(LINGER_MS);
+    network.runFor(LINGER_MS);
+    assertKept(1);
+    network.runFor(QuotaLimits.RETENTION_SLACK_MS + 2_000);
+    assertDropped();
+  }
+
+  /** Guards against: the same in a store that replays its log only after it was told. */
+  @Test
+  void whatIsReplayedAfterTheFormerRetentionWasToldIsKeptByIt() {
+    store = startedStore("10.2.0.9:7000");
+    learnFormerRetention(LINGER_MS);
+    network.runFor(1_000);
+    store.apply(1, message(1, 10_000));
+    network.runFor(LINGER_MS);
+    assertKept(1);
+  }
+
+  /** Guards against: a retention that has ended holds for ever, and the store fills up. */
+  @Test
+  void aFormerRetentionHoldsNoLongerThanAMessageOfItsTimeMayBeYoung() {
+    learnFormerRetention(LINGER_MS);
+    configure(route("orders.", 1_000));
+    network.runFor(LINGER_MS + QuotaLimits.RETENTION_SLACK_MS + 2_000);
+    store.apply(1, message(1, 1_000));
+    network.runFor(QuotaLimits.RETENTION_SLACK_MS + 3_000);
+    assertDropped();
+  }
+
   /** Guards against: event 605 named an age of 0 ms, which operators are told is a fault. */
   @Test
   void aStoreThatBeganWithASnapshotDoesNotNameTheAgeOfWhatWasDroppedBeforeIt() {
--- a/src/test/java/yewjunction/system/RouteChangeSimulationTest.java
+++ b/src/test/java/yewjunction/system/RouteChangeSimulationTest.java
@@ -17,6 +17,11 @@
 class RouteChangeSimulationTest extends SystemSimulation {
   private static final int LINGER_S = 35;
 
+  /**
+   * What a space keeps before its retention is raised: with the stores' slack less than RETURN_MS.
+   */
+  private static final int SHORT_LINGER_S = 10;
+
   /** ms; when clients return: what they lack is then younger than the space keeps messages. */
   private static final int RETURN_MS = 30_000;
 
@@ -48,8 +53,12 @@
   }
 
   private void begin(final long seed) {
+    begin(seed, BOTH_SPACES);
+  }
+
+  private void begin(final long seed, final String routes) {
     open(seed, TENANTS);
-    cluster.configure(BOTH_SPACES, TENANTS);
+    cluster.configure(routes, TENANTS);
     cluster.network.runFor(APPLY_MS);
     for (int i = 0; i < 6; i++) {
       final SimulatedClient client =
@@ -204,4 +213,47 @@
     assertTrue(removals >= 3, "removals " + removals);
     assertReadersGetAllOnTheirReturn(startMs);
   }
+
+  private void raiseAndRemoveTheSpace() {
+    cluster.configure(BOTH_SPACES, TENANTS);
+    cluster.network.runFor(cluster.network.random.nextInt(APPLY_MS));
+    cluster.configure(OTHER_SPACE, TENANTS);
+  }
+
+  private void assertReadersGetAllOnceTheSpaceIsBack(final long startMs) {
+    cluster.network.runFor(startMs + RETURN_MS - APPLY_MS - cluster.network.nowMs());
+    cluster.configure(BOTH_SPACES, TENANTS);
+    assertReadersGetAllOnTheirReturn(startMs);
+  }
+
+  /**
+   * Guards against: a longer retention was learned from a configuration alone, and stores that
+   * restarted after the space was removed again dropped what it had kept.
+   */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void whatALongerRetentionKeptOutlivesARestartOfTheStores(final long seed) {
+    begin(seed, OTHER_SPACE + "," + SimulatedCluster.route("v.", SHORT_LINGER_S));
+    final long startMs = cluster.network.nowMs();
+    publishWhileReadersAreAway();
+    raiseAndRemoveTheSpace();
+    fail();
+    assertReadersGetAllOnceTheSpaceIsBack(startMs);
+  }
+
+  /** Guards against: the same while no store was up to learn of the longer retention at all. */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void aLongerRetentionThatNoStoreHasSeenHoldsAllTheSame(final long seed) {
+    begin(seed, OTHER_SPACE + "," + SimulatedCluster.route("v.", SHORT_LINGER_S));
+    final long startMs = cluster.network.nowMs();
+    publishWhileReadersAreAway();
+    cluster.all(NodeRole.STORE).forEach(cluster::kill);
+    raiseAndRemoveTheSpace();
+    if (cluster.network.random.nextBoolean()) {
+      cluster.all(NodeRole.CONTROL).forEach(cluster::powerOff);
+    }
+    cluster.bootAll();
+    assertReadersGetAllOnceTheSpaceIsBack(startMs);
+  }
 }
