RETRY for a message is answered on the leader's word alone

Cause: edges promised by themselves that a number was never accepted, if it was above all others of its connection and read more than 2 s after the HELLO. Neither says when the client first sent it, or where; an edge that stood still reads it long after it was sent.

Change: what an edge refuses by itself (no lease, no leader in reach, no room) gets UNKNOWN, and what follows a refused message is put to the leader as revoked. Whether a number was sent before is guessed nowhere any more: isFirstTry, maybeSent and the separate deadline of what was never sent are gone. RETRY to HELLO, SUB and WHO stays: nothing was begun, or it was taken back.

--- a/src/main/java/yewjunction/gateway/ClientSession.java
+++ b/src/main/java/yewjunction/gateway/ClientSession.java
@@ -1,7 +1,6 @@
 package yewjunction.gateway;
 
 import static yewjunction.limits.ClientLimits.MAX_CLIENT_QUEUE_BYTES;
-import static yewjunction.limits.ClientLimits.RESENT_AFTER_HELLO_MS;
 import static yewjunction.limits.OrderingLimits.REFUSAL_ROUND_TRIP_MS;
 
 import java.util.HashMap;
@@ -38,7 +37,6 @@
   /** When the newest SUB was read. */
   long subscribedMs;
 
-  private long highestNumber = -1;
   int publishesInFlight;
   boolean moved;
 
@@ -49,18 +47,6 @@
     lastReceivedMs = nowMs;
   }
 
-  /**
-   * Whether a number is sent for the first time. Only then may RETRY be answered without the
-   * leader, since it promises that the number never was accepted. A client repeats what it sent on
-   * other connections right after HELLO, and numbers only rise.
-   */
-  boolean isFirstTry(final long number) {
-    final boolean first =
-        number > highestNumber && clientRegistry.nowMs() - helloMs > RESENT_AFTER_HELLO_MS;
-    highestNumber = Math.max(highestNumber, number);
-    return first;
-  }
-
   void onRefused(final Configuration.Route route, final long nowMs) {
     if (route != null) {
       refusedMs.put(route.name(), nowMs);
--- a/src/main/java/yewjunction/gateway/CommandHandler.java
+++ b/src/main/java/yewjunction/gateway/CommandHandler.java
@@ -202,7 +202,6 @@
   private void publish(final ClientSession session, final CommandParser parser) {
     final String topic = parser.text(1);
     final long number = parser.number(2);
-    final boolean firstTry = session.isFirstTry(number);
     final RefuseReason refusal = refusalReason(session, topic);
     if (refusal != null) {
       session.onRefused(
@@ -212,7 +211,8 @@
           ClientCommand.PUB,
           topic,
           parser.text(2),
-          refusal == RefuseReason.RETRY && !firstTry ? RefuseReason.UNKNOWN : refusal);
+          // Only the leader can promise that a number was not accepted, perhaps at another edge.
+          refusal == RefuseReason.RETRY ? RefuseReason.UNKNOWN : refusal);
     } else {
       final Configuration.Tenant tenant = leaseClient.configuration().tenantOfKey(session.secret);
       clientRegistry
@@ -221,7 +221,6 @@
               session,
               topic,
               number,
-              firstTry,
               tenant == null ? "" : tenant.name(),
               leaseClient.configuration().routeOf(topic),
               parser.bodyBytes());
--- a/src/main/java/yewjunction/gateway/OrderingConstraints.java
+++ b/src/main/java/yewjunction/gateway/OrderingConstraints.java
@@ -1,7 +1,7 @@
 package yewjunction.gateway;
 
-import static yewjunction.limits.ClientLimits.RESENT_AFTER_HELLO_MS;
 import static yewjunction.limits.OrderingLimits.MAX_SUBSCRIBE_BURST_MS;
+import static yewjunction.limits.OrderingLimits.SUBSCRIBE_AFTER_HELLO_MS;
 import static yewjunction.limits.OrderingLimits.SUBSCRIBE_BURST_GAP_MS;
 
 import yewjunction.control.Configuration;
@@ -44,7 +44,7 @@
    */
   boolean inSubscribeBurst(final Subscription subscription, final long nowMs) {
     final ClientSession session = subscription.session;
-    return subscription.subscribedMs - session.helloMs < RESENT_AFTER_HELLO_MS
+    return subscription.subscribedMs - session.helloMs < SUBSCRIBE_AFTER_HELLO_MS
         && nowMs - session.subscribedMs < SUBSCRIBE_BURST_GAP_MS
         && nowMs - subscription.subscribedMs < MAX_SUBSCRIBE_BURST_MS;
   }
--- a/src/main/java/yewjunction/gateway/PublishForwarder.java
+++ b/src/main/java/yewjunction/gateway/PublishForwarder.java
@@ -1,8 +1,7 @@
 package yewjunction.gateway;
 
 import static yewjunction.limits.ClientLimits.MAX_PUBLISHES_IN_FLIGHT;
-import static yewjunction.limits.ClientLimits.SENT_PUBLISH_DEADLINE_SHARE;
-import static yewjunction.limits.ClientLimits.UNSENT_PUBLISH_DEADLINE_SHARE;
+import static yewjunction.limits.ClientLimits.PUBLISH_DEADLINE_SHARE;
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -23,8 +22,9 @@
  * Messages on their way from this edge's clients to the leading store. Only the leader adds to the
  * log: while none is in reach messages wait in the {@link PublishQueue}.
  *
- * <p>Invariant: RETRY is answered only when the message never left this edge, or on the leader's
- * promise that it never will be accepted; else the answer is UNKNOWN.
+ * <p>Invariant: RETRY is answered only on the leader's promise that the number was not accepted and
+ * never will be; else the answer is UNKNOWN. An edge knows of no number that it is new: the client
+ * may have sent it on an earlier connection to another edge, any time before.
  *
  * <p>All calls on the agent's thread.
  */
@@ -61,7 +61,6 @@
       final ClientSession session,
       final String topic,
       final long number,
-      final boolean firstTry,
       final String tenant,
       final Route route,
       final byte[] body) {
@@ -74,17 +73,8 @@
     message.retainFor(route.retentionMs());
     final PendingPublish publish =
         new PendingPublish(++newestRequestId, session, message, tenant, context.nowMs(), route);
-    publish.maybeSent = !firstTry;
     // Without prospect it is refused at once: the client may succeed elsewhere.
-    final boolean follows = !route.after().isEmpty();
-    final boolean followsRefused = follows && session.followsRefused(route, publish.receivedMs);
-    publish.revoked = followsRefused && publish.maybeSent;
-    if (availability.isUnreachable()
-        || followsRefused && !publish.maybeSent
-        || !(follows
-                && !followsRefused
-                && dependencies.holdIfDependent(publish, publishes.values()))
-            && !publishQueue.add(publish)) {
+    if (availability.isUnreachable() || !enqueue(publish)) {
       giveUp(publish);
       return;
     }
@@ -94,6 +84,17 @@
     sendQueued();
   }
 
+  /** Queues a message, or holds it back for those that it follows; returns false without room. */
+  private boolean enqueue(final PendingPublish publish) {
+    if (!publish.route.after().isEmpty()) {
+      publish.revoked = publish.session.followsRefused(publish.route, publish.receivedMs);
+      if (!publish.revoked && dependencies.holdIfDependent(publish, publishes.values())) {
+        return true;
+      }
+    }
+    return publishQueue.add(publish);
+  }
+
   /** Sends queued messages up to the window: tenants in turn, a message each. */
   private void sendQueued() {
     if (leader.isEmpty() || availability.isBackingOff(context.nowMs())) {
@@ -200,24 +201,18 @@
     }
   }
 
-  /** Refuses a message whose fate is not known: RETRY promises that it never left this edge. */
+  /** Refuses a message whose fate only a leader could tell. */
   private void giveUp(final PendingPublish publish) {
-    refuse(publish, publish.maybeSent ? RefuseReason.UNKNOWN : RefuseReason.RETRY);
+    refuse(publish, RefuseReason.UNKNOWN);
   }
 
   private void refuse(final PendingPublish publish, final RefuseReason reason) {
     publish.session.onRefused(publish.route, context.nowMs());
-    // Messages that follow it must not be accepted without it.
+    // Messages that follow it must not be accepted without it. Another edge may have sent them: the
+    // leader says what became of them.
     for (final PendingPublish later : dependencies.dependentsOf(publish)) {
-      if (later.maybeSent) {
-        // Another edge may have sent it: the leader says what became of it.
-        later.revoked = true;
-        publishQueue.requeue(later);
-      } else {
-        publishes.remove(later.id);
-        onSettled(later);
-        giveUp(later);
-      }
+      later.revoked = true;
+      publishQueue.requeue(later);
     }
     publish.session.sendRefuse(
         ClientCommand.PUB,
@@ -229,14 +224,10 @@
   void check(final long nowMs) {
     for (final PendingPublish publish : new ArrayList<>(publishes.values())) {
       final long heldMs = nowMs - publish.receivedMs;
-      // What never left this edge is refused earlier than what may have been accepted.
-      if (heldMs
-          > publish.timeoutMs
-              * (publish.maybeSent ? SENT_PUBLISH_DEADLINE_SHARE : UNSENT_PUBLISH_DEADLINE_SHARE)) {
-        if (publishes.remove(publish.id) != null) {
-          onSettled(publish);
-          giveUp(publish);
-        }
+      if (heldMs > publish.timeoutMs * PUBLISH_DEADLINE_SHARE) {
+        publishes.remove(publish.id);
+        onSettled(publish);
+        giveUp(publish);
       }
     }
     if (availability.checkUnreachable(nowMs)) {
--- a/src/main/java/yewjunction/gateway/PublishQueue.java
+++ b/src/main/java/yewjunction/gateway/PublishQueue.java
@@ -39,12 +39,6 @@
     /** Ids of all requests for it; only a denial of the newest one counts. */
     final List<Long> requestIds = new ArrayList<>(1);
 
-    /**
-     * Whether it has left this edge, or may have left another: then only the leader may promise
-     * that it was not accepted.
-     */
-    boolean maybeSent;
-
     /** Whether it must not be accepted any more, which only a leader can promise. */
     boolean revoked;
 
@@ -69,7 +63,6 @@
         final PendingRequests<PeerConnection, PendingPublish> pendingRequests,
         final PeerConnection connection) {
       inFlight = true;
-      maybeSent = true;
       final long number = pendingRequests.add(connection, this);
       requestIds.add(number);
       return number;
--- a/src/main/java/yewjunction/limits/ClientLimits.java
+++ b/src/main/java/yewjunction/limits/ClientLimits.java
@@ -42,16 +42,7 @@
    * Share of a route's TimeoutMs after which the edge gives its final answer to a message still
    * under way.
    */
-  public static final double SENT_PUBLISH_DEADLINE_SHARE = 0.5;
-
-  /** The same for a message that never left the edge: the client may have more chance elsewhere. */
-  public static final double UNSENT_PUBLISH_DEADLINE_SHARE = 0.4;
-
-  /**
-   * Milliseconds: a number that comes so soon after a HELLO may have been sent on an earlier
-   * connection.
-   */
-  public static final long RESENT_AFTER_HELLO_MS = 2_000;
+  public static final double PUBLISH_DEADLINE_SHARE = 0.5;
 
   /**
    * Milliseconds: without an answer of any leader for so long an edge takes no new messages: above
--- a/src/main/java/yewjunction/limits/OrderingLimits.java
+++ b/src/main/java/yewjunction/limits/OrderingLimits.java
@@ -5,6 +5,9 @@
  * and the reason for its value.
  */
 public final class OrderingLimits {
+  /** Milliseconds: a SUB that comes so soon after a HELLO may be one of a burst. */
+  public static final long SUBSCRIBE_AFTER_HELLO_MS = 2_000;
+
   /**
    * Milliseconds: a burst of SUBs after a HELLO is over when none has come for so long (a client's
    * round trip), and at most.
--- a/src/test/java/yewjunction/system/SimulatedClient.java
+++ b/src/test/java/yewjunction/system/SimulatedClient.java
@@ -68,6 +68,19 @@
     return Math.max(0, readingPausedUntilMs - cluster.network.nowMs());
   }
 
+  /** Whether its edge has answered HELLO. */
+  boolean isGreeted() {
+    return connection != null && greeted;
+  }
+
+  /** How often the newest message that has no answer was sent, 0 without one. */
+  int timesSent() {
+    return unanswered.values().stream()
+        .reduce((one, later) -> later)
+        .map(sent -> sent.tries)
+        .orElse(0);
+  }
+
   String edge() {
     return connection == null ? null : connection.edge;
   }
--- a/src/test/java/yewjunction/system/SystemSimulationTest.java
+++ b/src/test/java/yewjunction/system/SystemSimulationTest.java
@@ -1,13 +1,17 @@
 package yewjunction.system;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import yewjunction.membership.NodeRole;
+import yewjunction.simulation.SimulatedHost;
 
 /** The whole system under the rules, on simulated machines. */
 class SystemSimulationTest extends SystemSimulation {
@@ -168,6 +172,54 @@
     settle();
   }
 
+  /**
+   * Guards against: an edge that stood still took a number, which had been accepted elsewhere, for
+   * a first try and answered RETRY by itself; under its new number the message came twice.
+   */
+  @ParameterizedTest
+  @MethodSource("frozenEdgeSeeds")
+  void whatWasAcceptedIsNotRefusedByAnEdgeThatStoodStill(final long seed) {
+    open(seed, SimulatedCluster.tenant("t", "key", 1_000));
+    final SimulatedClient reader = new SimulatedClient(cluster, checker, "reader", "zone2", "key");
+    reader.subscribe("s.t0");
+    final SimulatedClient sender = new SimulatedClient(cluster, checker, "sender", "zone1", "key");
+    cluster.network.runFor(2_000);
+    for (int round = 0; round < 4; round++) {
+      loseTheAck(sender);
+      freezeTheEdgeThatGetsTheNumberAgain(sender);
+      cluster.network.runFor(4_000);
+    }
+    settle();
+    assertEquals(4, checker.ackedCount());
+  }
+
+  /** The first ones in CI; more by hand: mvn test -Dfrozen.seeds=COUNT. */
+  static LongStream frozenEdgeSeeds() {
+    return LongStream.rangeClosed(1, Long.getLong("frozen.seeds", 20));
+  }
+
+  /** The client loses its connection while the number is on its way to the leader. */
+  private void loseTheAck(final SimulatedClient sender) {
+    final int deliveries = checker.deliveries;
+    assertTrue(cluster.network.runUntil(sender::isGreeted, 5_000), "never greeted");
+    final DeliveryChecker.Sent sent = sender.publish("s.t0");
+    cluster.network.runFor(2);
+    sender.leave();
+    assertTrue(
+        cluster.network.runUntil(() -> checker.deliveries > deliveries, 3_000), "not accepted");
+    sender.comeBack();
+    assertFalse(sent.acked, "the acknowledgement is not lost");
+  }
+
+  /** For less than the 3 s after which the client would go elsewhere. */
+  private void freezeTheEdgeThatGetsTheNumberAgain(final SimulatedClient sender) {
+    assertTrue(cluster.network.runUntil(() -> sender.timesSent() > 1, 5_000), "not sent again");
+    final SimulatedHost edge = cluster.network.host(sender.edge());
+    edge.freeze();
+    cluster.network.runFor(1_000 + cluster.network.random.nextInt(1_900));
+    edge.thaw();
+  }
+
   @Test
   void aDrainedEdgeMovesItsClientsBeforeItEnds() {
     begin(6, 1_000);
