--- a/src/test/java/yewjunction/system/RouteChangeSimulationTest.java
+++ b/src/test/java/yewjunction/system/RouteChangeSimulationTest.java
@@ -256,4 +256,22 @@
     cluster.bootAll();
     assertReadersGetAllOnceTheSpaceIsBack(startMs);
   }
+
+  /**
+   * Guards against: stores that run, and are told of the raise and of the removal in one message,
+   * saw the last version alone.
+   */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void aLongerRetentionThatCameTogetherWithItsEndHolds(final long seed) {
+    begin(seed, OTHER_SPACE + "," + SimulatedCluster.route("v.", SHORT_LINGER_S));
+    final long startMs = cluster.network.nowMs();
+    publishWhileReadersAreAway();
+    for (final String store : cluster.all(NodeRole.STORE)) {
+      cluster.all(NodeRole.CONTROL).forEach(control -> cluster.network.cut(store, control));
+    }
+    raiseAndRemoveTheSpace();
+    cluster.network.join();
+    assertReadersGetAllOnceTheSpaceIsBack(startMs);
+  }
 }
