ConfigurationPublisher: telling processes of changes is taken out of LeaseServer

LeaseServer had two jobs, granting leases and telling each process what it lacks of the configuration and the cluster state. The second is a class of its own now; nothing that is sent changes.

--- a/src/main/java/yewjunction/control/ControlService.java
+++ b/src/main/java/yewjunction/control/ControlService.java
@@ -26,6 +26,7 @@
   private final RaftNode raftNode;
   private final FormerRetentions formerRetentions;
   private final MembershipList membership;
+  private final ConfigurationPublisher publisher;
   private final LeaseServer leaseServer;
   private final OperatorApi operatorApi;
   private final String ownAddress;
@@ -57,15 +58,10 @@
         new NodeRegistry(
             context, transport, stateMachine, raftNode, membership, settings.votersNeeded());
     final LeasedProcesses processes = new LeasedProcesses(context);
+    publisher = new ConfigurationPublisher(context, stateMachine);
     leaseServer =
         new LeaseServer(
-            context,
-            transport,
-            stateMachine,
-            raftNode,
-            registry,
-            processes,
-            membership.self().life);
+            context, transport, raftNode, publisher, registry, processes, membership.self().life);
     operatorApi =
         new OperatorApi(
             context,
@@ -116,15 +112,15 @@
   @Override
   public void onConfigurationChanged() {
     formerRetentions.onChanged(stateMachine.formerRetentions());
-    if (leaseServer != null) {
-      leaseServer.scheduleUpdate();
+    if (publisher != null) {
+      publisher.scheduleUpdate();
     }
   }
 
   @Override
   public void onClusterStateChanged() {
-    if (leaseServer != null) {
-      leaseServer.onClusterStateChanged();
+    if (publisher != null) {
+      publisher.onClusterStateChanged();
     }
   }
 
