DeniedNumbers: what a leader denied is a class of its own; twin constants say each their own

AdmissionController kept the denied numbers and their expiry inline. Constants that shared one comment with their neighbour have one each. No value changes.

--- a/src/main/java/yewjunction/limits/ClientLimits.java
+++ b/src/main/java/yewjunction/limits/ClientLimits.java
@@ -5,10 +5,10 @@
  * names its unit and the reason for its value.
  */
 public final class ClientLimits {
-  /** Bytes: body of a message at most and at least (protocol). */
+  /** Bytes: body of a message at most (protocol). */
   public static final int MAX_BODY_BYTES = 16 << 10;
 
-  /** Bytes: body of a message at most and at least (protocol). */
+  /** Bytes: body of a message at least (protocol). */
   public static final int MIN_BODY_BYTES = 20;
 
   /** Bytes: a head line of words and fields at most: far above any name in use. */
@@ -50,10 +50,10 @@
    */
   public static final long LEADER_UNREACHABLE_AFTER_MS = 1_500;
 
-  /** Messages and bytes: an edge's publish queue at most. */
+  /** Messages: an edge's publish queue at most. */
   public static final int MAX_QUEUED_PUBLISHES = 4_000;
 
-  /** Messages and bytes: an edge's publish queue at most. */
+  /** Bytes: bodies in an edge's publish queue at most. */
   public static final int MAX_QUEUED_PUBLISH_BYTES = 8 << 20;
 
   /**
@@ -68,27 +68,18 @@
   public static final int MAX_PUBLISHES_IN_FLIGHT = 128;
 
   /**
-   * Milliseconds: first and longest pause before a leader that was lost, or that does not lead, is
-   * offered messages again.
+   * Milliseconds: first pause before a leader that was lost, or that does not lead, is sent
+   * messages again; it doubles each time.
    */
   public static final long MIN_PUBLISH_BACKOFF_MS = 25;
 
-  /**
-   * Milliseconds: first and longest pause before a leader that was lost, or that does not lead, is
-   * offered messages again.
-   */
+  /** Milliseconds: the longest such pause. */
   public static final long MAX_PUBLISH_BACKOFF_MS = 400;
 
-  /**
-   * Milliseconds: a SUB gets its final answer by then, before any client resets its connection; and
-   * how many a store is asked at a time.
-   */
+  /** Milliseconds: a SUB gets its final answer by then, before any client resets its connection. */
   public static final long SUBSCRIBE_TIMEOUT_MS = 1_000;
 
-  /**
-   * Milliseconds: a SUB gets its final answer by then, before any client resets its connection; and
-   * how many a store is asked at a time.
-   */
+  /** Count: subscriptions that an edge requests from its store at a time. */
   public static final long MAX_SUBSCRIBES_IN_FLIGHT = 128;
 
   /**
@@ -121,25 +112,16 @@
    */
   public static final long DRAIN_MOVE_DURATION_MS = 1_200;
 
-  /**
-   * Milliseconds: connections are moved over this span, in steps, so that the other edges take them
-   * one by one.
-   */
+  /** Milliseconds: from one such step to the next. */
   public static final long DRAIN_MOVE_INTERVAL_MS = 50;
 
   /** Milliseconds: a draining edge ends by then, inside the platform's grace. */
   public static final long DRAIN_TIMEOUT_MS = 3_000;
 
-  /**
-   * Count and bytes: patterns of a filter, and a filter, at most: with its topic and cursor it
-   * stays inside a head line.
-   */
+  /** Count: patterns of a filter at most. */
   public static final int MAX_FILTER_PATTERNS = 64;
 
-  /**
-   * Count and bytes: patterns of a filter, and a filter, at most: with its topic and cursor it
-   * stays inside a head line.
-   */
+  /** Bytes: a filter at most: with its topic and cursor it stays inside a head line. */
   public static final int MAX_FILTER_BYTES = 1 << 10;
 
   /**
--- a/src/main/java/yewjunction/limits/OrderingLimits.java
+++ b/src/main/java/yewjunction/limits/OrderingLimits.java
@@ -9,15 +9,12 @@
   public static final long SUBSCRIBE_AFTER_HELLO_MS = 2_000;
 
   /**
-   * Milliseconds: a burst of SUBs after a HELLO is over when none has come for so long (a client's
-   * round trip), and at most.
+   * Milliseconds: a burst of SUBs after a HELLO is over when none has come for so long, a client's
+   * round trip.
    */
   public static final long SUBSCRIBE_BURST_GAP_MS = 50;
 
-  /**
-   * Milliseconds: a burst of SUBs after a HELLO is over when none has come for so long (a client's
-   * round trip), and at most.
-   */
+  /** Milliseconds: a burst of SUBs at most. */
   public static final long MAX_SUBSCRIBE_BURST_MS = 300;
 
   /** Milliseconds: pace of looking whether what was waited for has been written. */
--- a/src/main/java/yewjunction/limits/QuotaLimits.java
+++ b/src/main/java/yewjunction/limits/QuotaLimits.java
@@ -17,15 +17,12 @@
   public static final long RETENTION_CHECK_INTERVAL_MS = 1_000;
 
   /**
-   * Shares of a quota's excess and slack: what a bucket uses, and what it holds at the start of a
-   * store; the rest covers changes of the leader and messages held for it.
+   * Share of a quota's excess and slack that a bucket uses; the rest covers changes of the leader
+   * and messages held for it.
    */
   public static final double BUCKET_EXCESS_SHARE = 0.35;
 
-  /**
-   * Shares of a quota's excess and slack: what a bucket uses, and what it holds at the start of a
-   * store; the rest covers changes of the leader and messages held for it.
-   */
+  /** Share of a quota's excess and slack that a bucket holds at the start of a store. */
   public static final double STARTUP_EXCESS_SHARE = 0.4;
 
   /** Milliseconds: what a store applies so soon after its start is its own log again. */
@@ -54,16 +51,10 @@
   /** Milliseconds: the same for what its disk owes a write. */
   public static final long MAX_DISK_LAG_TO_LEND_MS = 150;
 
-  /**
-   * Messages: borrowed in one turn of the agent, and of one tenant that wait to borrow, at most:
-   * more are denied at once.
-   */
+  /** Messages: borrowed in one turn of the agent at most. */
   public static final int MAX_BORROWS_PER_TURN = 16;
 
-  /**
-   * Messages: borrowed in one turn of the agent, and of one tenant that wait to borrow, at most:
-   * more are denied at once.
-   */
+  /** Messages: of one tenant that wait to borrow at most; more are denied at once. */
   public static final int MAX_WAITING_TO_BORROW = 256;
 
   private QuotaLimits() {}
--- a/src/main/java/yewjunction/store/AdmissionController.java
+++ b/src/main/java/yewjunction/store/AdmissionController.java
@@ -1,14 +1,11 @@
 package yewjunction.store;
 
-import static yewjunction.limits.QuotaLimits.NUMBER_RETENTION_MS;
 import static yewjunction.store.AdmissionMessages.ACCEPTED;
 import static yewjunction.store.AdmissionMessages.DENIED;
 import static yewjunction.store.AdmissionMessages.NOT_LEADER;
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.Iterator;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import yewjunction.common.AgentContext;
@@ -34,8 +31,7 @@
   private final MessageStore messageStore;
   private final Map<String, List<Requester>> inFlight = new HashMap<>();
   private final Map<String, Long> highestInFlight = new HashMap<>();
-  private final LinkedHashMap<String, Long> deniedMs = new LinkedHashMap<>();
-
+  private final DeniedNumbers deniedNumbers = new DeniedNumbers();
   private final QuotaBorrowing borrowing;
 
   /** Whom to answer, and for how many milliseconds it held the message. */
@@ -100,7 +96,7 @@
       respond(requester, ACCEPTED);
     } else if (requesters != null) {
       requesters.add(requester);
-    } else if (deniedMs.containsKey(key)) {
+    } else if (deniedNumbers.contains(key)) {
       respond(requester, DENIED);
     } else if (message.sequenceNumber
         <= Math.max(
@@ -168,16 +164,8 @@
     }
   }
 
-  /** Denies a number, and remembers that for longer than any copy of it can be on its way. */
   private void deny(final String key, final Requester requester) {
-    final long nowMs = context.nowMs();
-    deniedMs.put(key, nowMs);
-    for (final Iterator<Long> each = deniedMs.values().iterator(); each.hasNext(); ) {
-      if (nowMs - each.next() <= NUMBER_RETENTION_MS) {
-        break;
-      }
-      each.remove();
-    }
+    deniedNumbers.deny(key, context.nowMs());
     respond(requester, DENIED);
   }
 
