A former retention that a store is told of again keeps its time; several changes in a row

A store that is sent the whole configuration again added a second entry for the same former retention, with a later end. It is kept once now, with the first end.

RouteChangeSimulationTest.whatALongerRetentionKeptOutlivesSeveralChanges: a raise, then removals and lowered terms in a row while stores and control nodes fail.

--- a/src/main/java/yewjunction/store/RouteRetentions.java
+++ b/src/main/java/yewjunction/store/RouteRetentions.java
@@ -2,8 +2,9 @@
 
 import static yewjunction.limits.QuotaLimits.RETENTION_SLACK_MS;
 
-import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import yewjunction.control.Configuration;
 import yewjunction.control.FormerRetention;
 
@@ -15,15 +16,14 @@
  * <p>All calls on the agent's thread.
  */
 final class RouteRetentions {
-  private final List<HeldRetention> held = new ArrayList<>();
+  /** Former retentions, and until when this store keeps by them. */
+  private final Map<FormerRetention, Long> expiryMs = new HashMap<>();
+
   private Configuration configuration;
 
   /** Of all routes of all configurations known since the start. */
   private long longestMs;
 
-  /** A former retention, and until when this store keeps by it. */
-  private record HeldRetention(FormerRetention retention, long expiryMs) {}
-
   void setConfiguration(final Configuration newConfiguration) {
     configuration = newConfiguration;
     longestMs = Math.max(longestMs, newConfiguration.longestRetentionMs());
@@ -34,24 +34,25 @@
     return configuration != null;
   }
 
+  /** What is known already keeps its time. */
   void addFormer(final List<FormerRetention> retentions, final long nowMs) {
     for (final FormerRetention one : retentions) {
-      held.add(new HeldRetention(one, nowMs + one.retentionMs() + RETENTION_SLACK_MS));
+      expiryMs.putIfAbsent(one, nowMs + one.retentionMs() + RETENTION_SLACK_MS);
       longestMs = Math.max(longestMs, one.retentionMs());
     }
   }
 
   /** Returns whether there was something to remove. */
   boolean removeExpired(final long nowMs) {
-    return held.removeIf(one -> one.expiryMs < nowMs);
+    return expiryMs.values().removeIf(oneMs -> oneMs < nowMs);
   }
 
   /** Milliseconds; 0 for a topic without a route, now or lately. */
   long retentionMsOf(final String topic) {
     long longest = configuration == null ? 0 : configuration.retentionMsOf(topic);
-    for (final HeldRetention one : held) {
-      if (topic.startsWith(one.retention.prefix())) {
-        longest = Math.max(longest, one.retention.retentionMs());
+    for (final FormerRetention one : expiryMs.keySet()) {
+      if (topic.startsWith(one.prefix())) {
+        longest = Math.max(longest, one.retentionMs());
       }
     }
     return longest;
--- a/src/test/java/yewjunction/system/RouteChangeSimulationTest.java
+++ b/src/test/java/yewjunction/system/RouteChangeSimulationTest.java
@@ -274,4 +274,30 @@
     cluster.network.join();
     assertReadersGetAllOnceTheSpaceIsBack(startMs);
   }
+
+  /** Guards against: a longer retention survives one change, and not several ones with failures. */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void whatALongerRetentionKeptOutlivesSeveralChanges(final long seed) {
+    begin(seed, OTHER_SPACE + "," + SimulatedCluster.route("v.", SHORT_LINGER_S));
+    final long startMs = cluster.network.nowMs();
+    publishWhileReadersAreAway();
+    cluster.configure(BOTH_SPACES, TENANTS);
+    int changes = 0;
+    while (cluster.network.nowMs() - startMs < RETURN_MS - 3 * APPLY_MS) {
+      cluster.configure(changedRoutes(), TENANTS);
+      fail();
+      // A machine counts as lost for SYNC_MS after its return, and one may be lost at a time.
+      cluster.network.runFor(Math.max(0, diskLostUntilMs - cluster.network.nowMs()));
+      if (cluster.network.random.nextBoolean()) {
+        final String control = cluster.all(NodeRole.CONTROL).get(changes % 3);
+        cluster.stop(control);
+        cluster.network.runFor(MIN_DOWN_MS);
+        cluster.bootAll();
+      }
+      changes++;
+    }
+    assertTrue(changes >= 2, "changes " + changes);
+    assertReadersGetAllOnceTheSpaceIsBack(startMs);
+  }
 }
